--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -10,8 +10,8 @@
 	"io"
 	"os"
 
-	"aspenmount/decide"
-	"aspenmount/internal/wire"
+	"pewterwheel/decide"
+	"pewterwheel/internal/wire"
 )
 
 func main() {
--- a/cmd/adapter/main_test.go
+++ b/cmd/adapter/main_test.go
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"aspenmount/decide"
+	"pewterwheel/decide"
 )
 
 const initEvent = `{"what":"INIT","nonce64":1,"settings":{"balancers":2,"quantum_us":5000,
--- a/decide/example_test.go
+++ b/decide/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"aspenmount/decide"
+	"pewterwheel/decide"
 )
 
 // A node is told of one server and one call, sends the call, and hears that it stands.
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"fmt"
 
-	"aspenmount/decide"
+	"pewterwheel/decide"
 )
 
 // Reply is the answer to one batch.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"aspenmount/decide"
+	"pewterwheel/decide"
 )
 
 type rawSettings struct {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -8,7 +8,7 @@
 	"fmt"
 	"strconv"
 
-	"aspenmount/decide"
+	"pewterwheel/decide"
 )
 
 // Kind tells what a decoded event is for.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"aspenmount/decide"
+	"pewterwheel/decide"
 )
 
 func one(t *testing.T, event string) Event {
