Forget an unheard give-up once its call goes to that office again

Ruled out: lost connections (none ended in the logs) and callers without a connection (79 to 94 open). A recorded exchange shows the cause: a call whose first attempt was given up at an office, unheard, and which stood there on a later attempt, had its release taken for one that crossed the give-up (officeReleased, the Ended look-up). put now forgets the give-up.

--- /dev/null
+++ b/internal/session/exchange_test.go
@@ -0,0 +1,255 @@
+package session
+
+import (
+	"bufio"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"pewterwheel/internal/state"
+	"pewterwheel/internal/wire"
+)
+
+// Each file in testdata is a recorded exchange, a line for each thing that happened, with its millisecond:
+//
+//	10 a open                 a caller connects; close: it ends the connection
+//	10 a > [01 0000…01 …]     bytes from the caller a, the office o1 or the journal j
+//	10 a < [0c …]             bytes that the program wrote there; shut: it closed the connection
+//	10 o1 refuse              what connects to the office find from now on: accept, refuse, silent
+//	10 term                   SIGTERM; end: the program has ended
+//
+// In bytes, [ ] stand for a two-byte length and what it counts, { } for a four-byte one, "" for text, and all
+// else is hex. What the program does is compared with the recording, to the byte and the millisecond.
+var update = flag.Bool("update", false, "record what the program does now")
+
+const settings = `{"areas":["lisboa"],"balancers":2,"quantum_us":5000,"classes":[
+{"name":"balance-check","aim_us":1500000,"deadline_us":9000000,"importance":1,"late_worth":0.25,"effect":"free"},
+{"name":"sale-auth","aim_us":800000,"deadline_us":6000000,"importance":6,"late_worth":0.1,"effect":"free"}],
+"family_info":{"class_cells":[[0,1],[0,1]],"guard_us":200000,"resend_us":500000,"home_no":-1},
+"policy_limits":{"dial_timeout_us":500000,"max_retry_after_us":2000000,"may_cancel":true,"most_tries":6,
+"most_held":20,"retry_after":true},"rules":{"answer_slack_us":20000,"cold_us":13000000,"drain_grace_us":1000000,
+"fall_multiple":3,"fall_us":1500000,"start_capacity":0.28}}`
+
+const known = `{"pos":1,"entries":[{"pos":1,"hosts":{"seq":1,"whole":true,"hosts":[
+{"host":"s-00000001","dial":"127.0.0.1:1001","site":"lisboa","block":0,"health":"SERVING","share":1},
+{"host":"s-00000002","dial":"127.0.0.1:1002","site":"lisboa","block":1,"health":"SERVING","share":1}]}}]}`
+
+var addresses = map[string]string{"127.0.0.1:1001": "o1", "127.0.0.1:1002": "o2", "127.0.0.1:1003": "o3", "journal": "j"}
+
+// player is the world round a session, its clock included.
+type player struct {
+	t      *testing.T
+	s      *Session
+	now    int64
+	conns  map[string]*fakeConn
+	policy map[string]string
+	ready  []Arrival
+	lines  []string
+}
+
+type fakeConn struct {
+	p    *player
+	name string
+	dead bool
+}
+
+func (c *fakeConn) Write(b []byte) (int, error) {
+	if c.dead {
+		return 0, errors.New("closed")
+	}
+	c.p.note(c.name + " < " + render(b))
+	return len(b), nil
+}
+
+func (c *fakeConn) Close() error {
+	if !c.dead {
+		c.dead = true
+		c.p.note(c.name + " shut")
+	}
+	return nil
+}
+
+func (p *player) note(line string) {
+	p.lines = append(p.lines, fmt.Sprintf("%d %s", p.now/1000, line))
+}
+
+func (p *player) Dial(address string, id uint64) {
+	name := addresses[address]
+	a := Arrival{Kind: Dialled, At: p.now, Dial: id}
+	switch p.policy[name] {
+	case "silent":
+		return
+	case "refuse":
+		a.Err = errors.New("refused")
+	default:
+		conn := &fakeConn{p: p, name: name}
+		p.conns[name], a.Conn = conn, conn
+	}
+	p.ready = append(p.ready, a)
+}
+
+func (p *player) step(arrivals ...Arrival) {
+	p.s.Step(p.now, arrivals)
+	for len(p.ready) > 0 {
+		ready := p.ready
+		p.ready = nil
+		p.s.Step(p.now, ready)
+	}
+}
+
+// until lets the time pass in which nothing arrives.
+func (p *player) until(at int64) {
+	for p.s.Next() <= at && !p.s.Done() {
+		p.now = max(p.now, p.s.Next())
+		p.step()
+		if p.s.Done() {
+			p.note("end")
+		}
+	}
+	p.now = at
+}
+
+func (p *player) play(line string) {
+	words := strings.SplitN(line, " ", 4)
+	ms, err := strconv.ParseInt(words[0], 10, 64)
+	if err != nil {
+		p.t.Fatalf("line %q: %v", line, err)
+	}
+	p.until(ms * 1000)
+	p.lines = append(p.lines, line)
+	if words[1] == "term" {
+		p.step(Arrival{Kind: Stop, At: p.now})
+		return
+	}
+	name, conn := words[1], p.conns[words[1]]
+	switch words[2] {
+	case "open":
+		conn = &fakeConn{p: p, name: name}
+		p.conns[name] = conn
+		p.step(Arrival{Kind: Accepted, At: p.now, Conn: conn})
+	case "close":
+		conn.dead = true
+		p.step(Arrival{Kind: Closed, At: p.now, Conn: conn, Err: io.EOF})
+	case ">":
+		p.step(Arrival{Kind: Data, At: p.now, Conn: conn, Data: parse(p.t, words[3])})
+	default:
+		p.policy[name] = words[2]
+	}
+}
+
+// parse reads the notation of bytes.
+func parse(t *testing.T, text string) []byte {
+	var open []int
+	var b []byte
+	for i := 0; i < len(text); i++ {
+		switch c := text[i]; c {
+		case ' ':
+		case '[', '{':
+			open = append(open, len(b))
+			b = append(b, make([]byte, map[byte]int{'[': 2, '{': 4}[c])...)
+		case ']', '}':
+			at := open[len(open)-1]
+			open = open[:len(open)-1]
+			width := map[byte]int{']': 2, '}': 4}[c]
+			for k, n := width-1, len(b)-at-width; k >= 0; k, n = k-1, n>>8 {
+				b[at+k] = byte(n)
+			}
+		case '"':
+			end := i + 1 + strings.IndexByte(text[i+1:], '"')
+			b = append(b, text[i+1:end]...)
+			i = end
+		default:
+			v, err := hex.DecodeString(text[i : i+2])
+			if err != nil {
+				t.Fatalf("bytes %q: %v", text, err)
+			}
+			b = append(b, v...)
+			i++
+		}
+	}
+	return b
+}
+
+// render writes bytes in that notation.
+func render(b []byte) string {
+	m, n, err := wire.Next(b)
+	if err != nil || n != len(b) || m.Bad {
+		return hex.EncodeToString(b)
+	}
+	text := fmt.Sprintf("[%02x %016x", byte(m.Type), m.Call)
+	for _, p := range m.Params {
+		value := `"` + string(p.Value) + `"`
+		if p.Code == wire.ParamCause || strings.ContainsFunc(string(p.Value), func(r rune) bool { return r < ' ' || r > '~' || r == '"' }) {
+			value = hex.EncodeToString(p.Value)
+		}
+		text += fmt.Sprintf(" %02x[%s]", p.Code, value)
+	}
+	return text + "]"
+}
+
+func newPlayer(t *testing.T) *player {
+	p := &player{t: t, conns: map[string]*fakeConn{}, policy: map[string]string{}}
+	cfg := Config{Journal: "journal", Sockets: 1024, Seed: 7}
+	for text, into := range map[string]any{settings: &cfg.Settings, known: &cfg.Known} {
+		if err := json.Unmarshal([]byte(text), into); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var err error
+	if p.s, err = New(cfg, p, slog.New(slog.DiscardHandler), 0); err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+func TestExchanges(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no recordings: %v", err)
+	}
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
+			text, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			p := newPlayer(t)
+			started := false
+			lines := bufio.NewScanner(strings.NewReader(string(text)))
+			for lines.Scan() {
+				line := lines.Text()
+				words := strings.Fields(line)
+				switch {
+				case strings.HasPrefix(line, "#"):
+					p.lines = append(p.lines, line)
+				case len(words) > 2 && words[2] == "<", words[len(words)-1] == "shut", words[len(words)-1] == "end":
+				default:
+					if !started {
+						started = true
+						p.step()
+					}
+					p.play(line)
+				}
+			}
+			got := strings.Join(p.lines, "\n") + "\n"
+			if *update {
+				if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
+					t.Fatal(err)
+				}
+			} else if got != string(text) {
+				t.Errorf("the program does otherwise now:\n%s\nrecorded:\n%s", got, text)
+			}
+		})
+	}
+}
+
+var _ state.Conn = (*fakeConn)(nil)
--- a/internal/session/offices.go
+++ b/internal/session/offices.go
@@ -43,6 +43,9 @@
 func (s *Session) put(at *state.Attempt) {
 	s.Counters[state.AttemptsOut]++
 	at.Queued = false
+	// An earlier attempt there may have been given up unheard. Guards against taking the end of the call that
+	// stands for an answer to that.
+	delete(at.Office.Ended, at.Call.ID)
 	at.Office.Out[at.Call.ID] = at
 	// A write that fails has ended the connection; its end is told next and ends the attempt.
 	_ = s.send(at.Office.Conn, at.Call.SetUp.Onward(at.Call.ID, at.Call.Deadline-s.now))
