Give up at once held calls that no server can set up before their callers leave

Seen: held calls were kept until 5 ms before the caller's time was up even when the least set-up delay of all servers could no longer be waited out; such a call was refused late, or sent and wasted. While no server is up nothing is known and calls are held as before.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -486,7 +486,7 @@
 }
 
 func (n *Node) onTick() {
-	n.held = slices.DeleteFunc(n.held, func(c *call) bool { return c.over })
+	n.giveUpHopeless()
 	for _, s := range n.servers {
 		if n.woke == n.now {
 			break // answers may be in this same step
@@ -509,6 +509,21 @@
 	}
 }
 
+// giveUpHopeless ends held calls that no server is expected to set up before their callers leave. Guards
+// against keeping a caller waiting, and a server working, for a call that is lost already.
+func (n *Node) giveUpHopeless() {
+	soonest := n.soonestDelay()
+	if math.IsInf(soonest, 1) {
+		soonest = 0 // no server is up: one may come as long as the caller waits
+	}
+	for _, c := range n.held {
+		if !c.over && float64(n.now)+soonest >= float64(c.deadline) {
+			n.finish(c)
+		}
+	}
+	n.held = slices.DeleteFunc(n.held, func(c *call) bool { return c.over })
+}
+
 // ---- the throttle ----
 
 // pressed notes a reason for control: processor full, a time-out, or a wait above the target.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -226,6 +226,19 @@
 	r.one(Refuse, r.all)
 }
 
+// A held call that no server can be expected to set up before its caller leaves is refused at once, with the
+// time to come back; it is not kept until the caller's time is up.
+func TestHopelessCallIsRefusedAtOnce(t *testing.T) {
+	r := newRig(t, testSettings(), up("a", 0))
+	r.one(Send, r.order(1, 0, 0))
+	r.n.servers[0].delay = 1_500_000
+	r.none(Refuse, r.order(2, 0, 0))
+	r.none(Refuse, r.run(2400*ms))
+	if got := r.one(Refuse, r.run(200*ms)); got.Call != 2 || got.Wait != 2*sec {
+		t.Errorf("refused %+v", got)
+	}
+}
+
 func TestDeadlineEndsAnOpenCall(t *testing.T) {
 	r := newRig(t, testSettings(), up("a", 0))
 	a := r.one(Send, r.order(1, 0, 0))
