--- a/internal/session/offices.go
+++ b/internal/session/offices.go
@@ -52,12 +52,17 @@
 }
 
 // ended takes an attempt that is over off its office and tells the module how it ended.
-func (s *Session) ended(at *state.Attempt, o decide.Outcome, full bool, when int64) {
+func (s *Session) ended(at *state.Attempt, o decide.Outcome) {
+	s.endedWith(at, o, wire.Message{}, s.now)
+}
+
+// endedWith also tells what the office said of itself, and when its message came.
+func (s *Session) endedWith(at *state.Attempt, o decide.Outcome, m wire.Message, when int64) {
 	c := at.Call
 	delete(at.Office.Out, c.ID)
 	c.Attempt = nil
 	s.event(decide.Event{Kind: decide.Ended, Call: decide.CallID(c.ID), Server: at.Office.ID, Attempt: at.N,
-		Took: max(0, when-at.Since), Outcome: o, Final: c.Answered, Full: full, Load: decide.NoLoad()})
+		Took: max(0, when-at.Since), Outcome: o, Final: c.Answered, Full: m.Overload(), Load: m.Load()})
 	if c.Answered {
 		s.forget(c)
 	}
@@ -76,7 +81,7 @@
 	} else {
 		s.endAt(at.Office, at.Call.ID, wire.CauseNormal)
 	}
-	s.ended(at, o, false, s.now)
+	s.ended(at, o)
 }
 
 // endAt releases a call at an office, or gives its set-up up there, on this connection or the next.
@@ -100,7 +105,10 @@
 		s.officeReleased(o, m, at)
 	case wire.TypeHeard:
 		delete(o.Ended, m.Call)
-	case wire.TypeProgress, wire.TypeGroup, wire.TypeTested:
+	case wire.TypeGroup:
+		// Comes unasked when the free lines change; the module draws by them.
+		s.event(decide.Event{Kind: decide.Checked, Server: o.ID, Outcome: decide.OK, Load: m.Load()})
+	case wire.TypeProgress, wire.TypeTested:
 	default:
 		s.Counters[state.BadIn]++
 	}
@@ -158,7 +166,7 @@
 		counter := map[decide.Outcome]state.Counter{decide.Rejected: state.FullBack, decide.Unsent: state.Moot,
 			decide.Cut: state.Resets, decide.Failed: state.ErrorsBack}[outcome]
 		s.Counters[counter]++
-		s.ended(at, outcome, m.Overload(), when)
+		s.endedWith(at, outcome, m, when)
 		return
 	}
 	if _, ours := o.Ended[m.Call]; ours {
@@ -232,7 +240,7 @@
 	o.Queue = nil
 	for _, at := range queue {
 		s.Counters[state.Unreached]++
-		s.ended(at, decide.Unreached, false, s.now)
+		s.ended(at, decide.Unreached)
 	}
 }
 
@@ -244,7 +252,7 @@
 	for _, at := range inOrder(o.Out) {
 		s.Counters[state.Resets]++
 		o.Ended[at.Call.ID] = state.Ending{Cause: wire.CauseNormal, At: s.now}
-		s.ended(at, decide.Cut, false, s.now)
+		s.ended(at, decide.Cut)
 	}
 	if len(o.Standing) > 0 && o.Lost == 0 {
 		o.Lost = s.now
@@ -275,7 +283,7 @@
 	}
 	for _, at := range inOrder(o.Out) {
 		s.Counters[state.Resets]++
-		s.ended(at, decide.Cut, false, s.now)
+		s.ended(at, decide.Cut)
 	}
 	clear(o.Ended)
 	s.cutAll(o)
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"strconv"
 	"strings"
+
+	"pewterwheel/decide"
 )
 
 // MaxMessage is the most bytes that a binary message may hold, its length field included.
@@ -34,6 +36,7 @@
 	ParamInfo        = 31
 	ParamStayAway    = 34
 	ParamNote        = 37
+	ParamLoad        = 43
 	ParamCause       = 58
 	ParamDescription = 61
 )
@@ -142,6 +145,23 @@
 	return string(note) == NoteOverload
 }
 
+// Load reads what a server tells of itself: its free lines, in the state of a group. What cannot be read is
+// not told.
+func (m Message) Load() decide.Load {
+	v, _ := m.Get(ParamLoad)
+	told := map[string]float64{}
+	for field := range strings.SplitSeq(string(v), ";") {
+		name, value, _ := strings.Cut(field, ":")
+		if n, err := strconv.ParseFloat(value, 64); err == nil && n >= 0 && n <= maxLoad {
+			told[name] = n
+		}
+	}
+	return load(told)
+}
+
+// maxLoad is above any figure of a server; the bound also keeps infinities from the module's sums.
+const maxLoad = 1e12
+
 // Text makes a parameter of a text.
 func Text(code byte, value string) Param { return Param{code, []byte(value)} }
 
