Count intervals only from the first call on

Cause: a real controller is up before its callers come. Intervals without calls ended control and grew to 3 s, and showed a rate of next to nothing (start and onTick in decide.go).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -153,6 +153,7 @@
 	tokens  uint64
 	begins  int64 // when this interval began
 	nextInt int64
+	called  bool    // a call has come since the start: intervals run
 	asked   float64 // calls of new callers, and set-ups that began, counted as N is
 	took    float64
 	span    float64 // over so many microseconds
@@ -292,6 +293,12 @@
 		n.act(Action{Kind: Refuse, Call: e.Call})
 		return
 	}
+	if !n.called {
+		// Guards against the time before the first caller being counted: intervals without calls end control and
+		// grow long, and what they show is that servers take next to nothing.
+		n.called = true
+		n.begins, n.nextInt = n.now, n.nextInt+n.now-n.begins
+	}
 	n.tokens++
 	cl := &n.set.Classes[e.Class]
 	c := &call{id: e.Call, token: n.tokens, class: cl, dest: e.Dest, transit: e.Transit, since: n.now,
@@ -496,7 +503,7 @@
 			n.pressed(s)
 		}
 	}
-	if n.now >= n.nextInt {
+	if n.called && n.now >= n.nextInt {
 		n.endIntervals()
 	}
 	for k, first := range n.turned { // no order: each entry is judged alone
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1014,3 +1014,21 @@
 		t.Errorf("out of control %g, under control %g, usual %g", flow(false), flow(true), usual)
 	}
 }
+
+// The time before the first caller shows nothing: a node that stood idle sends like one that did not.
+func TestIdleStartShowsNothing(t *testing.T) {
+	sends := func(idle int64) int {
+		r := newRig(t, testSettings(), up("a", 0))
+		r.run(idle)
+		for id := range CallID(150) {
+			for _, a := range of(Send, r.order(id+1, 0, 0)) {
+				r.begun(a, 20*ms)
+			}
+			r.run(20 * ms)
+		}
+		return len(of(Send, r.all))
+	}
+	if busy, idle := sends(0), sends(6*sec); idle != busy {
+		t.Errorf("%d set-ups sent after an idle start, %d without", idle, busy)
+	}
+}
