--- a/decide/decide.go
+++ b/decide/decide.go
@@ -294,8 +294,8 @@
 		return
 	}
 	if !n.called {
-		// Guards against the time before the first caller being counted: intervals without calls end control and
-		// grow long, and what they show is that servers take next to nothing.
+		// Guards against counting the time before the first caller: intervals without calls end control, grow
+		// long, and show that servers take next to nothing.
 		n.called = true
 		n.begins, n.nextInt = n.now, n.nextInt+n.now-n.begins
 	}
