--- a/internal/service/network.go
+++ b/internal/service/network.go
@@ -18,6 +18,8 @@
 	// dialLimit is when a connect that has not come up is given back to the system. The session gives up on
 	// it sooner, by the time in its settings.
 	dialLimit = 2 * time.Second
+	// acceptPause is how long after a failed accept the next one comes.
+	acceptPause = 10 * time.Millisecond
 )
 
 // dialled marks a connection that was opened from here with the number of its dial.
@@ -43,6 +45,8 @@
 		}
 		q.put(a)
 	})
+	// The engine tries again at once. Guards against a full core while descriptors are short.
+	n.engine.OnAcceptError(func(error) { time.Sleep(acceptPause) })
 	n.engine.OnData(func(c *nbio.Conn, data []byte) {
 		q.put(session.Arrival{Kind: session.Data, At: now(), Conn: c, Data: append([]byte(nil), data...)})
 	})
--- a/internal/session/exchange_test.go
+++ b/internal/session/exchange_test.go
@@ -54,6 +54,7 @@
 	policy map[string]string
 	ready  []Arrival
 	lines  []string
+	ended  bool
 }
 
 type fakeConn struct {
@@ -104,6 +105,10 @@
 		p.ready = nil
 		p.s.Step(p.now, ready)
 	}
+	if p.s.Done() && !p.ended {
+		p.ended = true
+		p.note("end")
+	}
 }
 
 // until lets the time pass in which nothing arrives.
@@ -111,9 +116,6 @@
 	for p.s.Next() <= at && !p.s.Done() {
 		p.now = max(p.now, p.s.Next())
 		p.step()
-		if p.s.Done() {
-			p.note("end")
-		}
 	}
 	p.now = at
 }
--- a/internal/session/offices.go
+++ b/internal/session/offices.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 
 	"pewterwheel/decide"
 	"pewterwheel/internal/state"
@@ -147,7 +148,7 @@
 	}
 	s.Counters[state.AnswersOut]++
 	delete(s.over, c.ID)
-	st := &state.Standing{ID: c.ID, Office: o, From: c.From}
+	st := &state.Standing{ID: c.ID, Office: o, From: c.From, Since: s.now}
 	s.stands[c.ID], o.Standing[c.ID] = st, st
 }
 
@@ -187,9 +188,12 @@
 	delete(st.Office.Standing, st.ID)
 }
 
-// cutAll releases towards their callers the calls that stood at an office which is no more.
-func (s *Session) cutAll(o *state.Office) {
+// cut releases towards their callers the calls that stood before a time at an office which is no more.
+func (s *Session) cut(o *state.Office, before int64) {
 	for _, st := range inOrder(o.Standing) {
+		if st.Since >= before {
+			continue
+		}
 		s.over[st.ID] = s.now
 		s.endStanding(st)
 		s.tellEnd(st.ID, wire.CauseCut, st.From)
@@ -212,7 +216,7 @@
 		s.unreached(o)
 		return
 	}
-	o.Conn = conn
+	o.Conn, o.Opened = conn, s.now
 	s.roles[conn] = o
 	for call, e := range inOrder(o.Ended) {
 		_ = s.send(conn, wire.ReleaseOf(call, e.Cause))
@@ -229,7 +233,7 @@
 	s.log.Warn("office unreached", "office", o.ID, "error", err)
 	s.unreached(o)
 	if o.Lost != 0 && s.now-o.Lost >= lostFor {
-		s.cutAll(o)
+		s.cut(o, math.MaxInt64)
 	}
 	s.redialLater(o)
 }
@@ -273,9 +277,17 @@
 	s.wheel.Set(o.NotUntil, state.Timer{Kind: state.TimerRedial, Office: o})
 }
 
-// officeGone ends an office, or one life of it, when the list tells so.
+// officeGone ends an office, or one life of it, when the list tells so. The list is late: guards against
+// cutting what a server that started anew has taken since, on a connection that has come up since.
 func (s *Session) officeGone(g state.Gone) {
-	o := g.Office
+	o, before := g.Office, int64(math.MaxInt64)
+	if !g.Removed {
+		before = o.Started
+	}
+	s.cut(o, before)
+	if o.Conn != nil && o.Opened >= before {
+		return
+	}
 	if o.Conn != nil {
 		delete(s.roles, o.Conn)
 		_ = o.Conn.Close() // its end is what is asked for
@@ -286,7 +298,6 @@
 		s.ended(at, decide.Cut)
 	}
 	clear(o.Ended)
-	s.cutAll(o)
 	if o.Dialling != 0 { // it may lead to the old address
 		delete(s.dials, o.Dialling)
 		o.Dialling = 0
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -38,6 +38,7 @@
 	ID     uint64
 	Office *Office
 	From   *Caller
+	Since  int64
 }
 
 // Caller is a connection from callers.
@@ -59,6 +60,7 @@
 type Office struct {
 	wire.Office
 	Conn     Conn
+	Opened   int64  // when the connection came up
 	Dialling uint64 // the dial that is under way; 0: none
 	Backoff  int64  // next pause between dials
 	NotUntil int64  // no dial before this
@@ -85,7 +87,7 @@
 // Gone is one office, or one life of it, that the list says is over; its connection and calls go with it.
 type Gone struct {
 	Office  *Office
-	Removed bool // false: the same office started anew
+	Removed bool // also from its old address; false: it started anew where it was
 }
 
 // Apply takes a change of the list and tells which offices have ended by it, or have a new start or address.
@@ -110,7 +112,9 @@
 		switch {
 		case o.State == decide.Removed && was.State != decide.Removed:
 			gone = append(gone, Gone{old, true})
-		case o.Started > was.Started || o.Address != was.Address:
+		case o.Address != was.Address: // whatever answers at the old one is not this office
+			gone = append(gone, Gone{old, true})
+		case o.Started > was.Started:
 			gone = append(gone, Gone{old, false})
 		}
 	}
--- /dev/null
+++ b/internal/state/state_test.go
@@ -0,0 +1,44 @@
+package state
+
+import (
+	"net/netip"
+	"testing"
+
+	"pewterwheel/decide"
+	"pewterwheel/internal/wire"
+)
+
+func office(id string, state decide.State, port uint16, started int64) wire.Office {
+	return wire.Office{Listed: decide.Listed{ID: decide.ServerID(id), State: state, Started: started},
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)}
+}
+
+func TestOfficesEnd(t *testing.T) {
+	var l Offices
+	if gone := l.Apply(wire.Change{Whole: true, Offices: []wire.Office{office("a", decide.Up, 1, 0),
+		office("b", decide.Up, 2, 0), office("c", decide.Up, 3, 0)}}); len(gone) != 0 {
+		t.Errorf("at the start: %v", gone)
+	}
+	gone := l.Apply(wire.Change{Offices: []wire.Office{office("a", decide.Draining, 1, 0),
+		office("b", decide.Up, 2, 9), office("c", decide.Up, 4, 0)}})
+	if len(gone) != 2 || gone[0].Office.ID != "b" || gone[0].Removed || gone[1].Office.ID != "c" || !gone[1].Removed {
+		t.Errorf("a new start and a new address: %+v", gone)
+	}
+	gone = l.Apply(wire.Change{Whole: true, Offices: []wire.Office{office("b", decide.Removed, 2, 9)}})
+	if len(gone) != 3 {
+		t.Errorf("a list without any: %+v", gone)
+	}
+	l.Get("a").Standing[1] = &Standing{}
+	l.Forget()
+	if len(l.All()) != 1 || l.Get("b") != nil || l.Get("a") == nil {
+		t.Errorf("kept %v", l.All())
+	}
+}
+
+func TestCountersNamed(t *testing.T) {
+	for i, name := range counterNames {
+		if name == "" {
+			t.Errorf("counter %d has no name", i)
+		}
+	}
+}
--- /dev/null
+++ b/internal/state/wheel_test.go
@@ -0,0 +1,45 @@
+package state
+
+import "testing"
+
+// A timer comes due at the first tick at or after its time: never early, and not a turn of the wheel late.
+func TestWheelIsNeverEarly(t *testing.T) {
+	const tick = 5_000
+	w := NewWheel(tick, 1_000_003)
+	times := []int64{0, 1_000_003, 1_004_999, 1_005_000, 1_005_001, 1_234_567, 1_000_000 + 2*wheelSlots*tick + 1}
+	for i, at := range times {
+		w.Set(at, Timer{ID: uint64(i)})
+	}
+	fired := map[uint64]int64{}
+	for w.Len() > 0 {
+		at, ok := w.Next()
+		if !ok {
+			t.Fatal("timers set, but nothing is next")
+		}
+		for _, d := range w.Advance(at, nil) {
+			fired[d.ID] = at
+		}
+	}
+	for i, at := range times {
+		if got := fired[uint64(i)]; got < at || got >= max(at, 1_000_003)+2*tick {
+			t.Errorf("timer for %d came at %d", at, got)
+		}
+	}
+	if _, ok := w.Next(); ok {
+		t.Error("an empty wheel has a next time")
+	}
+}
+
+func TestWheelAfterAStandstill(t *testing.T) {
+	w := NewWheel(5_000, 0)
+	for i := range uint64(3) {
+		w.Set(int64(3-i)*1_000_000, Timer{ID: i})
+	}
+	var order []uint64
+	for _, d := range w.Advance(60_000_000, nil) {
+		order = append(order, d.ID)
+	}
+	if len(order) != 3 || order[0] != 2 || order[2] != 0 {
+		t.Errorf("came in the order %v", order)
+	}
+}
