Halve the open set-ups at a server short of lines, in place of pause and burst

Cause: failedFast shut a server for 250 ms at the first refusal for lines and opened it up to the whole limit with the first set-up that began, so lines stood empty and were then hit by a burst, most of it in vain. Now the window halves for what was sent after the last cut and grows by one for each windowful that began; the pause stays for a window of one.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -83,6 +83,8 @@
 	aside   bool    // found silent, nothing answered since
 	lossy   bool    // what was not answered there was lost on the way: the server answered others in time
 	pause   gate    // after quick failures and silence
+	window  float64 // most set-ups open while its lines are short; 0: they are not
+	cutAt   int64   // when window was last cut
 	canTake float64 // set-ups a second it says it can take; negative: not said
 	free    float64 // its free lines; negative: not said
 }
@@ -284,7 +286,7 @@
 	s.begun, s.count, s.delay, s.next = 0, 0, 0, 0
 	s.under, s.press, s.limit = true, true, 1
 	s.budget, s.refill, s.lastEnd = n.rng.Float64(), n.now, n.now
-	s.pause, s.canTake, s.free, s.lossy = gate{}, -1, -1, false
+	s.pause, s.window, s.canTake, s.free, s.lossy = gate{}, 0, -1, -1, false
 	n.setFlow(s)
 }
 
@@ -343,6 +345,7 @@
 	n.answered(s)
 	n.overtaken(s, c)
 	s.pause = gate{}
+	s.widen(float64(n.bound(s)))
 	over := float64(e.Took) - n.td
 	if n.woke != n.now {
 		n.learn(s, float64(e.Took))
@@ -374,7 +377,10 @@
 	}
 	s.reported(e.Load)
 	n.release(c)
-	if e.Outcome == Rejected || e.Outcome == Unreached || e.Outcome == Unsent {
+	switch {
+	case e.Outcome == Rejected && !e.Full:
+		n.short(s, c)
+	case e.Outcome == Rejected, e.Outcome == Unreached, e.Outcome == Unsent:
 		n.failedFast(s)
 	}
 	n.ran(c, s, e.Outcome)
@@ -634,6 +640,9 @@
 	if n.now < s.next || n.now < s.pause.until || s.pause.gap > 0 && len(s.open) > 0 {
 		return false
 	}
+	if s.window > 0 && len(s.open) >= int(s.window) {
+		return false
+	}
 	return s.up && len(s.open)-n.suspect(s) < n.bound(s) && n.coldRoom(s)
 }
 
@@ -822,6 +831,30 @@
 	n.shut(s, failedPause, max(s.pause.gap, pauseMost))
 }
 
+// short guards a server whose lines are all taken, but whose processor is not full: lines come free one by
+// one, so neither a pause nor set-ups up to the limit fit. Half of what was open may be; what was sent before
+// the last cut tells nothing new. At one set-up it is left alone as after any quick failure.
+func (n *Node) short(s *server, c *call) {
+	switch {
+	case s.window == 0:
+		s.window, s.cutAt = max(1, float64(len(s.open)+1)/2), n.now
+	case c.sent > s.cutAt && s.window > 1:
+		s.window, s.cutAt = max(1, s.window/2), n.now
+	case s.window == 1:
+		n.failedFast(s)
+	}
+}
+
+// widen adds one set-up to the window for each windowful that began, until it binds no more than the limit.
+func (s *server) widen(bound float64) {
+	if s.window == 0 {
+		return
+	}
+	if s.window += 1 / s.window; s.window > bound {
+		s.window = 0
+	}
+}
+
 // shut leaves a server alone for a pause that doubles. Times grow with the usual time per set-up, so that all
 // nodes together try a sick server at a part of the rate that it took in health.
 func (n *Node) shut(s *server, times float64, most int64) {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1032,3 +1032,51 @@
 		t.Errorf("%d set-ups sent after an idle start, %d without", idle, busy)
 	}
 }
+
+// A server short of lines was paused, then sent set-ups up to its limit once one began, most of them in vain.
+func TestShortOfLines(t *testing.T) {
+	r := newRig(t, testSettings(), up("a", 0))
+	r.settle(0)
+	s := r.n.byID["a"]
+	s.under, s.flow, s.next = false, 20, 0
+	var out []Action
+	for id := range CallID(16) {
+		out = append(out, of(Send, r.order(id+1, 0, 0))...)
+	}
+	if len(out) != 16 {
+		t.Fatalf("%d set-ups sent, want 16", len(out))
+	}
+	r.now += 20 * ms
+	for i, a := range out { // all lines were taken when they arrived: they count once
+		if got := of(Send, r.ended(a, Rejected, false)); s.window != 8 || len(s.open) > max(8, 15-i) || len(got) > 1 {
+			t.Fatalf("after %d refusals: window %v, %d open", i+1, s.window, len(s.open))
+		}
+	}
+	for s.window > 1 {
+		r.now += ms
+		before := s.window
+		for _, c := range s.open {
+			c.sent = r.now
+		}
+		r.ended(Action{Call: s.open[0].id, Server: "a", Attempt: s.open[0].tries - 1}, Rejected, false)
+		if s.window != max(1, before/2) {
+			t.Fatalf("window %v after %v", s.window, before)
+		}
+	}
+	if s.pause.gap != 0 {
+		t.Error("paused while the window could still be cut")
+	}
+	for range 3 * 16 {
+		if r.begun(Action{Call: s.open[0].id, Server: "a"}, 20*ms); len(s.open) == 0 {
+			break
+		}
+	}
+	if s.window <= 1 {
+		t.Errorf("window %v after set-ups that began", s.window)
+	}
+	s.window = float64(r.n.bound(s))
+	s.widen(float64(r.n.bound(s)))
+	if s.window != 0 {
+		t.Errorf("a window of %v still binds beside a bound of %d", s.window, r.n.bound(s))
+	}
+}
