--- /dev/null
+++ b/internal/service/service_test.go
@@ -0,0 +1,160 @@
+package service
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"pewterwheel/internal/wire"
+)
+
+// patience is only for a broken program: nothing here is judged by how fast it comes.
+const patience = 30 * time.Second
+
+// port listens on a free port of the loopback.
+func port(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+// peer is the far end of one of the program's connections.
+type peer struct {
+	t    *testing.T
+	conn net.Conn
+	buf  []byte
+}
+
+func newPeer(t *testing.T, conn net.Conn, err error) *peer {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(patience))
+	return &peer{t: t, conn: conn}
+}
+
+func (p *peer) write(m wire.Message) {
+	p.t.Helper()
+	b, err := m.Append(nil)
+	if err == nil {
+		_, err = p.conn.Write(b)
+	}
+	if err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// want reads up to a message of that type and call.
+func (p *peer) want(kind wire.Type, call uint64) wire.Message {
+	p.t.Helper()
+	for {
+		m, n, err := wire.Next(p.buf)
+		if err != nil {
+			p.t.Fatal(err)
+		}
+		if n > 0 {
+			if p.buf = p.buf[n:]; m.Type == kind && m.Call == call {
+				return m
+			}
+			continue
+		}
+		chunk := make([]byte, 4096)
+		n, err = p.conn.Read(chunk)
+		if err != nil {
+			p.t.Fatalf("waiting for message %d of call %d: %v", kind, call, err)
+		}
+		p.buf = append(p.buf, chunk[:n]...)
+	}
+}
+
+// A call goes through the program on real sockets, and SIGTERM ends it with all answered. Guards against what
+// recordings cannot show: nbio 1.6.8 connected every office at 0.0.0.0.
+func TestCallOnSockets(t *testing.T) {
+	office, journal, free := port(t), port(t), port(t)
+	listen := free.Addr().String()
+	_ = free.Close()
+	text := fmt.Sprintf(`{"name":"n0","listen":"%s","seed":"8c1f30d27a5be964",
+		"limits":{"cores":1,"memory_mb":192,"sockets":1024},"journal":"%s",
+		"known":{"pos":3,"entries":[{"pos":3,"hosts":{"whole":true,"hosts":[
+			{"host":"s-00000001","dial":"%s","block":0,"health":"SERVING","share":1}]}}]},
+		"settings":{"balancers":1,"quantum_us":5000,"classes":[
+			{"name":"sale-auth","aim_us":800000,"deadline_us":6000000,"importance":6,"effect":"free"}],
+			"policy_limits":{"may_cancel":true,"most_tries":6}}}`, listen, journal.Addr(), office.Addr())
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := ReadConfig(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var log strings.Builder
+	ended := make(chan error, 1)
+	go func() { ended <- Run(cfg, slog.New(slog.NewTextHandler(&log, nil))) }()
+
+	conn, err := journal.Accept()
+	last := make([]byte, 8)
+	if _, err := io.ReadFull(newPeer(t, conn, err).conn, last); err != nil || last[7] != 3 {
+		t.Fatalf("the journal was asked from % x, %v", last, err)
+	}
+	conn, err = office.Accept()
+	server := newPeer(t, conn, err)
+	conn, err = net.Dial("tcp4", listen)
+	caller := newPeer(t, conn, err)
+
+	caller.write(wire.Message{Type: wire.TypeTest})
+	if m := caller.want(wire.TypeTested, 0); m.Cause() != 1 {
+		t.Errorf("the test gave %+v", m)
+	}
+	up := wire.SetUp{Class: "sale-auth", Number: "n/1", Description: []byte("offer"), Described: true}
+	caller.write(up.Onward(7, 30_000_000))
+	server.want(wire.TypeSetUp, 7)
+	server.write(wire.Message{Type: wire.TypeAnswer, Call: 7, Params: []wire.Param{{Code: wire.ParamDescription, Value: []byte{0, 255}}}})
+	if d, _ := caller.want(wire.TypeAnswer, 7).Get(wire.ParamDescription); string(d) != "\x00\xff" {
+		t.Errorf("the description came as % x", d)
+	}
+	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	server.write(wire.ReleaseOf(7, wire.CauseNormal))
+	caller.want(wire.TypeRelease, 7)
+	select {
+	case err := <-ended:
+		if err != nil || !strings.Contains(log.String(), "setups_in=1") {
+			t.Errorf("ended with %v; log:\n%s", err, log.String())
+		}
+	case <-time.After(patience):
+		t.Fatal("SIGTERM did not end it")
+	}
+}
+
+func TestBadConfigurations(t *testing.T) {
+	for _, text := range []string{"", "{", `{"listen":"127.0.0.1:1"}`, `{"listen":7,"journal":"x"}`} {
+		path := filepath.Join(t.TempDir(), "config.json")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := ReadConfig(path); err == nil {
+			t.Errorf("%q was taken for a configuration", text)
+		}
+	}
+	if _, err := ReadConfig(filepath.Join(t.TempDir(), "none.json")); err == nil {
+		t.Error("a file that is not there was read")
+	}
+	if _, err := (Config{Seed: "not hex"}).session(); err == nil {
+		t.Error("a seed that is no number was taken")
+	}
+}
--- a/internal/session/exchange_test.go
+++ b/internal/session/exchange_test.go
@@ -242,6 +242,9 @@
 					p.play(line)
 				}
 			}
+			for _, broken := range brokenRules(t, p.lines) {
+				t.Error(broken)
+			}
 			got := strings.Join(p.lines, "\n") + "\n"
 			if *update {
 				if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
@@ -254,4 +257,75 @@
 	}
 }
 
+// brokenRules reads a recording for what must hold in any: one final answer for a call, one attempt out at a
+// time, six at most, and none within the guard after one that was reset or given up. It also holds while
+// recording, so that a wrong recording is not made unnoticed.
+func brokenRules(t *testing.T, lines []string) (broken []string) {
+	final, out, sends, guard := map[uint64]wire.Type{}, map[uint64]string{}, map[uint64]int{}, map[uint64]int64{}
+	for _, line := range lines {
+		words := strings.SplitN(line, " ", 4)
+		if strings.HasPrefix(line, "#") || len(words) < 3 {
+			continue
+		}
+		ms, _ := strconv.ParseInt(words[0], 10, 64)
+		office := words[1][0] == 'o'
+		if words[2] == "close" || words[2] == "shut" {
+			for call, where := range out {
+				if where == words[1] {
+					delete(out, call)
+					guard[call] = ms + 200
+				}
+			}
+		}
+		if len(words) < 4 || words[1] == "j" {
+			continue
+		}
+		for b := parse(t, words[3]); len(b) > 0; {
+			m, n, err := wire.Next(b)
+			if err != nil || n == 0 {
+				break
+			}
+			b = b[n:]
+			switch ends := m.Type == wire.TypeAnswer || m.Type == wire.TypeRelease; {
+			case office && words[2] == "<" && m.Type == wire.TypeSetUp:
+				if out[m.Call] != "" || ms < guard[m.Call] {
+					broken = append(broken, fmt.Sprintf("%s: out at %q, guard until %d", line, out[m.Call], guard[m.Call]))
+				}
+				if sends[m.Call]++; sends[m.Call] > 6 {
+					broken = append(broken, line+": too many attempts")
+				}
+				out[m.Call] = words[1]
+			case office && ends && out[m.Call] == words[1]:
+				delete(out, m.Call)
+				if words[2] == "<" || m.Cause() == wire.CauseCut {
+					guard[m.Call] = ms + 200
+				}
+			case !office && words[2] == "<" && ends:
+				// The release of a call that stood may come again on another connection; nothing else may.
+				if was := final[m.Call]; was != 0 && (m.Type == wire.TypeAnswer || was == wire.TypeRelease) {
+					broken = append(broken, line+": a second final answer")
+				} else if was == 0 {
+					final[m.Call] = m.Type
+				}
+			}
+		}
+	}
+	return broken
+}
+
+func TestBrokenRulesAreSeen(t *testing.T) {
+	for want, recording := range map[string]string{
+		"":         "1 o1 < [01 0000000000000001];2 o1 > [0c 0000000000000001 3a[22]];2 o2 < [01 0000000000000001]",
+		"out at":   "1 o1 < [01 0000000000000001];2 o2 < [01 0000000000000001]",
+		"guard":    "1 o1 < [01 0000000000000001];2 o1 close;201 o2 < [01 0000000000000001]",
+		"answer":   "1 a < [09 0000000000000001];2 b < [09 0000000000000001]",
+		"a second": "1 a < [0c 0000000000000001 3a[2a]];2 a < [0c 0000000000000001 3a[2a]]",
+	} {
+		got := strings.Join(brokenRules(t, strings.Split(recording, ";")), "; ")
+		if !strings.Contains(got, want) || want == "" && got != "" {
+			t.Errorf("%s\ngave %q, want %q", recording, got, want)
+		}
+	}
+}
+
 var _ state.Conn = (*fakeConn)(nil)
