Answer every open call before the kill that may follow SIGTERM by 3.7 s

Now set-ups that come after SIGTERM have that as their deadline, and what is open 3.5 s after it fails (lastAnswer, endAll in session.go).

--- a/internal/session/callers.go
+++ b/internal/session/callers.go
@@ -109,6 +109,9 @@
 		return
 	}
 	c := &state.Call{ID: m.Call, From: from, SetUp: up, Deadline: at + up.Wait}
+	if s.stop != 0 {
+		c.Deadline = min(c.Deadline, s.lastAnswer())
+	}
 	s.calls[c.ID], from.Open[c.ID] = c, c
 	delete(s.over, c.ID)
 	s.event(decide.Event{Kind: decide.Order, Call: decide.CallID(c.ID), Class: class, Key: up.Number,
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -51,7 +51,8 @@
 // Times of the program's own, in microseconds; those of the service come with its settings.
 const (
 	wheelTick = 5_000
-	// journalSilence: an empty frame comes each second, so a connection silent for longer has died.
+	// journalSilence: an empty frame comes each second, so a connection silent for longer has died. Its
+	// successor must bring within 7 s what was told meanwhile, for then it counts as told.
 	journalSilence = 3_500_000
 	journalAgain   = 200_000
 	// redialFirst and redialMost bound the pause between connects to an office at which calls stand.
@@ -67,10 +68,11 @@
 	unsureFor = 2_000_000
 	// goOn is how long after SIGTERM connections (0.4 s) and set-ups on them (0.2 s more) may still come.
 	goOn = 850_000
-	// lastAnswer: no kill comes sooner after SIGTERM than the longest deadline, or this, plus killAfter.
-	lastAnswer, killAfter = 3_000_000, 700_000
-	maxRemembered         = 1 << 16
-	maxRounds             = 32
+	// No kill comes sooner after SIGTERM than the longest deadline, counted as longestCounted where it is
+	// longer, plus killAfter. Every call has its final answer this much before: beforeKill.
+	longestCounted, killAfter, beforeKill = 3_000_000, 700_000, 200_000
+	maxRemembered                         = 1 << 16
+	maxRounds                             = 32
 )
 
 // Config is what a Session is made from.
@@ -198,12 +200,29 @@
 }
 
 // Done tells whether a stop that was asked for is complete: nothing that was taken lacks its answer and no
-// more is to come, or the time before the kill is up.
+// more is to come.
 func (s *Session) Done() bool {
-	if s.stop == 0 {
-		return false
+	return s.stop != 0 && s.now >= s.stop+goOn && s.open() == 0
+}
+
+// lastAnswer is when the last call must have its answer once SIGTERM has come.
+func (s *Session) lastAnswer() int64 {
+	return s.stop + min(longestCounted, s.longest) + killAfter - beforeKill
+}
+
+// endAll gives what is still open its final answer. Guards against the kill, which loses it: callers may wait
+// longer than that. They may try another controller at once, so no time to come back is told.
+func (s *Session) endAll() {
+	for _, c := range inOrder(s.calls) {
+		if c.Answered {
+			continue
+		}
+		s.final(decide.Action{Call: decide.CallID(c.ID)}, wire.CauseCut, state.FailuresOut)
+		s.event(decide.Event{Kind: decide.Gone, Call: decide.CallID(c.ID)})
+		if c.Attempt != nil {
+			s.giveUp(c.Attempt, decide.Cancelled)
+		}
 	}
-	return s.now >= s.stop+goOn && s.open() == 0 || s.now >= s.stop+max(lastAnswer, s.longest)+killAfter
 }
 
 func (s *Session) open() int {
@@ -238,6 +257,7 @@
 	case Stop:
 		if s.stop == 0 {
 			s.stop = s.now
+			s.wheel.Set(s.lastAnswer(), state.Timer{Kind: state.TimerStop})
 			s.log.Info("stopping", "open", s.open(), "standing", len(s.stands))
 		}
 	case Report:
@@ -356,6 +376,8 @@
 	case state.TimerJournal:
 		s.watchJournal()
 		s.wheel.Set(s.now+journalAgain, t)
+	case state.TimerStop:
+		s.endAll()
 	case state.TimerSweep:
 		s.sweep()
 		s.wheel.Set(s.now+sweep, t)
