Keep watching an unreachable office while calls still stand there

Seen on reading cut: after a late list of an office's new start, the mark that its connection is lost was cleared though calls taken since still stood there, so an office that then stayed unreachable would never have had them released. The recording gone_again.txt fails without the change.

--- a/internal/session/offices.go
+++ b/internal/session/offices.go
@@ -199,7 +199,9 @@
 		s.endStanding(st)
 		s.tellEnd(st.ID, wire.CauseCut, st.From)
 	}
-	o.Lost = 0
+	if len(o.Standing) == 0 { // what is left still waits for a connection
+		o.Lost = 0
+	}
 }
 
 // ---- connections to offices ----
