Let a second process take over from the first, and answer on a second address

Lines at fault: newNetwork listened once, alone on its address; nothing listened on the address of control.

Changed: listen.go shares the address for callers (SO_REUSEPORT) and tells the system to give new connections to the newest process, so that none waits at one that ends. control.go and wire/control.go answer READY, STATS, DRAIN and UNDRAIN, one line a connection; leave.go sends callers away in a drain and after SIGTERM, connection by connection as they fall idle. Rejected: a file in the shared directory by which two processes know of each other; it can outlive them.

Checked: a socket that has a program may not join others (EADDRINUSE), so it comes after listen; and not on multipath TCP, the standard library's default (EOPNOTSUPP).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -718,6 +718,12 @@
 	n.held = keep
 }
 
+// Avoids tells whether a listed server is left alone now, whatever its limit is.
+func (n *Node) Avoids(id ServerID) bool {
+	s := n.byID[id]
+	return s == nil || !s.up || s.aside || n.now < s.pause.until
+}
+
 func (n *Node) anyRoom() bool { return slices.ContainsFunc(n.servers, n.room) }
 
 // soonestDelay is the least set-up delay expected of any server.
--- a/internal/service/config.go
+++ b/internal/service/config.go
@@ -21,6 +21,7 @@
 		MemoryMB int64   `json:"memory_mb"`
 		Sockets  int     `json:"sockets"`
 	} `json:"limits"`
+	Control  string        `json:"control"` // the second address, for staff and the platform; empty: none
 	Journal  string        `json:"journal"`
 	Known    wire.Known    `json:"known"`
 	Settings wire.Settings `json:"settings"`
--- a/internal/service/network.go
+++ b/internal/service/network.go
@@ -27,9 +27,10 @@
 
 // network is the sockets: nbio's engine, whose callbacks only stamp and queue what arrived.
 type network struct {
-	engine *nbio.Engine
-	queue  *queue
-	now    func() int64
+	engine  *nbio.Engine
+	queue   *queue
+	now     func() int64
+	control string // the second address, as the system writes it
 }
 
 func newNetwork(cfg Config, q *queue, now func() int64) *network {
@@ -38,13 +39,20 @@
 	nbio.MaxOpenFiles = sockets + 64 // the engine keeps a table of that size
 	// All peers together that read nothing must not fill memory.
 	unwritten := max(leastUnwritten, int(cfg.Limits.MemoryMB<<20)/2/sockets)
-	n := &network{queue: q, now: now, engine: nbio.NewEngine(nbio.Config{Network: "tcp4", Addrs: []string{cfg.Listen},
-		NPoller: 1, ReadBufferSize: readBuffer, MaxWriteBufferSize: unwritten})}
+	n := &network{queue: q, now: now}
+	addresses := []string{cfg.Listen}
+	if cfg.Control != "" {
+		addresses = append(addresses, cfg.Control)
+	}
+	n.engine = nbio.NewEngine(nbio.Config{Network: "tcp4", Addrs: addresses, Listen: listener(cfg.Control, &n.control),
+		NPoller: 1, ReadBufferSize: readBuffer, MaxWriteBufferSize: unwritten})
 	// The engine calls this before it reads from the connection, so nothing is queued ahead of it.
 	n.engine.OnOpen(func(c *nbio.Conn) {
 		a := session.Arrival{Kind: session.Accepted, At: now(), Conn: c}
 		if id, ok := c.Session().(dialled); ok {
 			a.Kind, a.Dial = session.Dialled, uint64(id)
+		} else if n.control != "" && c.LocalAddr().String() == n.control {
+			a.Kind = session.Asked
 		}
 		q.put(a)
 	})
--- a/internal/service/queue.go
+++ b/internal/service/queue.go
@@ -58,7 +58,7 @@
 			a.Kind, a.Data = session.Flooded, nil
 		}
 		q.bytes += size
-	case session.Accepted:
+	case session.Accepted: // not those of the second address, which are few and wait for a second only
 		for q.accepted >= maxAccepted {
 			q.room.Wait()
 		}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -50,13 +50,12 @@
 	}
 	go func() {
 		for sig := range signals {
-			if a, ok := signalled(sig, read, log); ok {
-				a.At = now()
-				q.put(a)
-			}
+			a := signalled(sig, read)
+			a.At = now()
+			q.put(a)
 		}
 	}()
-	log.Info("serving", "name", cfg.Name, "listen", cfg.Listen, "known", cfg.Known.Last)
+	log.Info("serving", "name", cfg.Name, "listen", cfg.Listen, "control", cfg.Control, "known", cfg.Known.Last)
 	loop(s, q, now)
 	s.Report()
 	log.Info("stopped", "name", cfg.Name)
@@ -64,19 +63,15 @@
 }
 
 // signalled tells the loop what a signal asks for. A configuration that cannot be read changes nothing.
-func signalled(sig os.Signal, read func() (Config, error), log *slog.Logger) (session.Arrival, bool) {
+func signalled(sig os.Signal, read func() (Config, error)) session.Arrival {
 	switch sig {
 	case syscall.SIGUSR1:
-		return session.Arrival{Kind: session.Report}, true
+		return session.Arrival{Kind: session.Report}
 	case syscall.SIGHUP:
 		cfg, err := read()
-		if err != nil {
-			log.Error("configuration unreadable", "error", err)
-			return session.Arrival{}, false
-		}
-		return session.Arrival{Kind: session.Reload, Journal: cfg.Journal, Known: cfg.Known}, true
+		return session.Arrival{Kind: session.Reload, Journal: cfg.Journal, Known: cfg.Known, Err: err}
 	}
-	return session.Arrival{Kind: session.Stop}, true
+	return session.Arrival{Kind: session.Stop}
 }
 
 // limitRuntime keeps the Go runtime within the machine that the configuration describes.
@@ -129,6 +124,9 @@
 		if v := os.Getenv("BALANCER_NAME"); v != "" {
 			cfg.Name = v
 		}
+		if v := os.Getenv("BALANCER_CONTROL"); v != "" {
+			cfg.Control = v
+		}
 		return cfg, err
 	}
 	return Run(read, signals, slog.New(slog.NewTextHandler(os.Stderr, nil)))
--- a/internal/session/callers.go
+++ b/internal/session/callers.go
@@ -120,7 +120,7 @@
 	case wire.TypeTest:
 		s.Counters[state.TestsIn]++
 		var passed byte = 1
-		if s.stop != 0 {
+		if s.stop != 0 || s.drain != 0 {
 			passed = 0
 		}
 		s.toCaller(from, wire.Message{Type: wire.TypeTested, Call: m.Call,
@@ -171,10 +171,18 @@
 		s.odd(from, badSetUp)
 		return
 	}
+	from.Asked = s.now
 	size := callSize + int64(len(up.Description))
+	if s.refusing() {
+		s.Counters[state.RefusalsOut]++
+		s.ends[class].Rejected++
+		_ = s.toCaller(from, wire.ReleaseOf(m.Call, wire.CauseCongestion)) // another controller may take it at once
+		return
+	}
 	if len(s.calls) >= s.maxHeld || len(from.Open) >= maxOpen || s.bytes+size > s.maxBytes {
 		// Bounds memory; the settings name the number, past which no decision is asked for.
 		s.Counters[state.RefusalsOut]++
+		s.ends[class].Rejected++
 		m := wire.ReleaseOf(m.Call, wire.CauseCongestion)
 		if after := s.set.Limits.MaxAfter; s.set.Limits.RetryAfter && after > 0 {
 			m.Params = append(m.Params, stayAway(min(after, s.set.Classes[class].Aim)))
@@ -276,6 +284,11 @@
 		return
 	}
 	s.Counters[counter]++
+	if ends := &s.ends[s.classes[c.SetUp.Class]]; cause == wire.CauseCongestion {
+		ends.Rejected++
+	} else {
+		ends.Failed++
+	}
 	m := wire.ReleaseOf(c.ID, cause)
 	if a.Wait > 0 {
 		m.Params = append(m.Params, stayAway(a.Wait))
--- a/internal/session/journal.go
+++ b/internal/session/journal.go
@@ -17,6 +17,7 @@
 	in       []byte
 	last     uint64 // number of the last event taken
 	heard    int64  // when the last whole frame came
+	seen     bool   // it has come up since the start
 }
 
 func (s *Session) dialJournal() {
@@ -27,7 +28,7 @@
 // journalOpen asks for all that came after the last event we have.
 func (s *Session) journalOpen(conn state.Conn) {
 	j := &s.journal
-	j.dialling, j.conn, j.in, j.heard = 0, conn, nil, s.now
+	j.dialling, j.conn, j.in, j.heard, j.seen = 0, conn, nil, s.now, true
 	s.roles[conn] = j
 	if _, err := conn.Write(binary.BigEndian.AppendUint64(nil, j.last)); err != nil {
 		s.drop(conn, err)
@@ -48,6 +49,12 @@
 // does all else that the program holds. Events that the file already knows need not be waited for.
 func (s *Session) reload(a Arrival) {
 	j := &s.journal
+	if a.Err != nil {
+		s.Counters[state.ReloadErrors]++
+		s.log.Error("configuration unreadable", "error", a.Err)
+		return
+	}
+	s.Counters[state.Reloads]++
 	s.log.Info("configuration read anew", "journal", a.Journal, "last", j.last, "known", a.Known.Last)
 	for _, entry := range a.Known.Entries {
 		if entry.Number <= j.last || entry.Number > j.last+1 && !entry.List.Whole {
--- a/internal/session/offices.go
+++ b/internal/session/offices.go
@@ -57,7 +57,6 @@
 
 // put writes an attempt's set-up to its office.
 func (s *Session) put(at *state.Attempt) {
-	s.Counters[state.AttemptsOut]++
 	at.Queued = false
 	// An earlier attempt there may have been given up unheard. Guards against taking the end of the call that
 	// stands for an answer to that.
@@ -66,6 +65,9 @@
 	// A write that fails has ended the connection; its end is told next and ends the attempt. That it failed, as on a
 	// connection that was reset while idle, proves that the office has nothing of it.
 	at.Failed = s.send(at.Office.Conn, at.Call.SetUp.Onward(at.Call.ID, at.Call.Deadline-s.now)) != nil
+	if !at.Failed {
+		s.Counters[state.AttemptsOut]++
+	}
 }
 
 // ended takes an attempt that is over off its office and tells the module how it ended.
@@ -181,6 +183,7 @@
 		return
 	}
 	s.Counters[state.AnswersOut]++
+	s.ends[s.classes[c.SetUp.Class]].Completed++
 	s.good(c.From)
 	delete(s.over, c.ID)
 	st := &state.Standing{ID: c.ID, Office: o, From: c.From, Since: s.now}
@@ -250,7 +253,7 @@
 }
 
 func (s *Session) officeOpen(o *state.Office, conn state.Conn) {
-	o.Dialling, o.Backoff, o.Lost, o.In = 0, 0, 0, nil
+	o.Dialling, o.Backoff, o.Lost, o.In, o.Unreached = 0, 0, 0, nil, false
 	if o.State == decide.Removed {
 		_ = conn.Close() // nothing was written to it
 		s.unreached(o)
@@ -269,7 +272,7 @@
 }
 
 func (s *Session) officeUnreached(o *state.Office, err error) {
-	o.Dialling = 0
+	o.Dialling, o.Unreached = 0, true
 	s.log.Warn("office unreached", "office", o.ID, "error", err)
 	s.unreached(o)
 	within := int64(lostFor)
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -19,6 +19,7 @@
 // Decider is the decision module as the session drives it.
 type Decider interface {
 	Step(now int64, e decide.Event, out []decide.Action) []decide.Action
+	Avoids(id decide.ServerID) bool
 }
 
 // Network opens connections; the result comes back as an arrival of kind Dialled.
@@ -37,7 +38,8 @@
 	Closed                          // Conn, Err
 	Stop                            // end once all that was taken is answered
 	Report                          // log the counters
-	Reload                          // the configuration was read anew: Journal, Known
+	Reload                          // the configuration was read anew: Journal, Known; or could not be: Err
+	Asked                           // someone connected to the second address: Conn
 	Flooded                         // Conn sent more than is kept for it; the rest is lost
 )
 
@@ -150,6 +152,8 @@
 	pulse   int64              // shortest time between two tellings of free lines; 0: not known
 	roles   map[state.Conn]any // *state.Caller, *state.Office or *journal
 	callers []*state.Caller    // in the order in which they came
+	askers  []*state.Asker     // in the order in which they came
+	ends    []state.Ends       // by class
 	calls   map[uint64]*state.Call
 	stands  map[uint64]*state.Standing
 	unsent  map[uint64]state.Ending // releases to callers, of whom none is connected
@@ -157,7 +161,9 @@
 	offices state.Offices
 	dials   map[uint64]*state.Office // nil: the journal
 	dialled uint64
+	began   int64
 	stop    int64 // when SIGTERM came; 0: not
+	drain   int64 // since when callers are sent away though the program goes on; 0: they are not
 }
 
 // New returns a session that knows the list of its configuration. The first Step starts it.
@@ -171,7 +177,7 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	s := &Session{net: net, node: node, log: log, now: now, wheel: state.NewWheel(wheelTick, now),
-		set: cfg.Settings, classes: map[string]int{}, maxTries: set.MaxTries, maxHeld: cfg.Settings.Limits.MaxHeld,
+		began: now, ends: make([]state.Ends, len(cfg.Settings.Classes)), set: cfg.Settings, classes: map[string]int{}, maxTries: set.MaxTries, maxHeld: cfg.Settings.Limits.MaxHeld,
 		maxCallers: max(16, cfg.Sockets/2), maxBytes: math.MaxInt64, dialLimit: cfg.Settings.Limits.Dial,
 		roles: map[state.Conn]any{}, calls: map[uint64]*state.Call{},
 		stands: map[uint64]*state.Standing{}, unsent: map[uint64]state.Ending{}, over: map[uint64]int64{},
@@ -247,7 +253,7 @@
 // Done tells whether a stop that was asked for is complete: nothing that was taken lacks its answer and no
 // more is to come.
 func (s *Session) Done() bool {
-	return s.stop != 0 && s.now >= s.stop+goOn && s.open() == 0
+	return s.stop != 0 && s.now >= s.stop+goOn && s.open() == 0 && s.served()
 }
 
 // lastAnswer is when the last call must have its answer once SIGTERM has come.
@@ -290,6 +296,8 @@
 	switch a.Kind {
 	case Accepted:
 		s.accepted(a)
+	case Asked:
+		s.asked(a)
 	case Dialled:
 		s.dialledTo(a)
 	case Data:
@@ -312,6 +320,8 @@
 			})
 		case *journal:
 			s.fromJournal(a.Data)
+		case *state.Asker:
+			s.fromAsker(role, a.Data)
 		}
 	case Flooded:
 		s.Counters[state.BadIn]++
@@ -385,6 +395,8 @@
 		s.officeLost(role, err)
 	case *journal:
 		s.journalLost(err)
+	case *state.Asker:
+		s.askerLeft(role)
 	}
 }
 
@@ -456,6 +468,8 @@
 	case state.TimerPartial:
 		s.watchOffices()
 		s.watchCallers()
+		s.watchAskers()
+		s.sendAway()
 		s.wheel.Set(s.now+watch, t)
 	case state.TimerStop:
 		s.endAll()
--- a/internal/state/counters.go
+++ b/internal/state/counters.go
@@ -32,12 +32,16 @@
 	Moot
 	JournalEvents
 	JournalLost
+	AskedIn // lines on the second address
+	Reloads
+	ReloadErrors
 	counters
 )
 
 var counterNames = [counters]string{"callers_in", "setups_in", "giveups_in", "releases_in", "tests_in", "turned_out", "bad_in",
 	"answers_out", "refusals_out", "failures_out", "releases_out", "attempts_out", "cancels_out", "answers_back",
-	"full_back", "errors_back", "timeouts", "unreached", "resets", "moot", "journal_events", "journal_lost"}
+	"full_back", "errors_back", "timeouts", "unreached", "resets", "moot", "journal_events", "journal_lost",
+	"asked_in", "reloads", "reload_errors"}
 
 // Counters count what the program takes in, sends and answers.
 type Counters [counters]uint64
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -50,12 +50,23 @@
 	Part   int64            // since when In holds part of a message
 	Open   map[uint64]*Call // set-ups without a final answer
 	Quiet  int64            // since when no set-up is open
+	Asked  int64            // when its last set-up came
 	Told   bool             // it has had an answer, a refusal or a test's result
 	Good   bool             // a call of it stood, or it has heard of the end of one: no bad client gets so far
 	Odd    int              // set-ups and releases that nothing could be made of
 	Unsure map[uint64]Ending
 }
 
+// Asker is a connection of the second address.
+type Asker struct {
+	Conn  Conn
+	Since int64
+	In    []byte
+}
+
+// Ends counts the final answers given to a class's calls.
+type Ends struct{ Completed, Rejected, Failed uint64 }
+
 // Ending is a release that was sent, or is to be sent, and that nobody has heard yet.
 type Ending struct {
 	Cause byte
@@ -66,20 +77,21 @@
 // Office is a call server and our connection to it.
 type Office struct {
 	wire.Office
-	Conn     Conn
-	Opened   int64  // when the connection came up
-	Heard    int64  // when anything last came on it
-	Told     int64  // when the office last told its free lines on it; 0: not yet
-	Dialling uint64 // the dial that is under way; 0: none
-	Backoff  int64  // next pause between dials
-	NotUntil int64  // no dial before this
-	Lost     int64  // when the connection was lost with calls standing; 0: not
-	In       []byte
-	Partial  int64                // since when In holds part of a message
-	Out      map[uint64]*Attempt  // attempts sent and not ended
-	Queue    []*Attempt           // attempts that wait for the connection
-	Standing map[uint64]*Standing // calls that stand there
-	Ended    map[uint64]Ending    // releases that the office has not been heard to take
+	Conn      Conn
+	Opened    int64  // when the connection came up
+	Unreached bool   // the last connect was refused or did not come up
+	Heard     int64  // when anything last came on it
+	Told      int64  // when the office last told its free lines on it; 0: not yet
+	Dialling  uint64 // the dial that is under way; 0: none
+	Backoff   int64  // next pause between dials
+	NotUntil  int64  // no dial before this
+	Lost      int64  // when the connection was lost with calls standing; 0: not
+	In        []byte
+	Partial   int64                // since when In holds part of a message
+	Out       map[uint64]*Attempt  // attempts sent and not ended
+	Queue     []*Attempt           // attempts that wait for the connection
+	Standing  map[uint64]*Standing // calls that stand there
+	Ended     map[uint64]Ending    // releases that the office has not been heard to take
 }
 
 // Offices is the list of offices.
