Tell the ends of calls to callers alone, not to connections that only test

Traced: the front tests on a connection of its own every 0.1 s, and Session.accepted wrote waiting releases to it ahead of the test's result, so that it counted as failed.

--- a/internal/session/callers.go
+++ b/internal/session/callers.go
@@ -21,6 +21,12 @@
 	c := &state.Caller{Conn: a.Conn, Since: s.now, Open: map[uint64]*state.Call{}, Quiet: s.now, Unsure: map[uint64]state.Ending{}}
 	s.roles[a.Conn] = c
 	s.callers = append(s.callers, c)
+}
+
+// asks notes that a connection asks for a call, or ends one: it may be told of the ends that nobody was there for.
+// Guards against telling them to the front, whose connections bring a test alone: to it that is no passed test.
+func (s *Session) asks(c *state.Caller) {
+	c.Asked = s.now
 	for id, e := range inOrder(s.unsent) {
 		if !e.Sent {
 			s.tellEnd(id, e.Cause, nil)
@@ -36,7 +42,9 @@
 	c.Good = true
 	for id, e := range inOrder(s.unsent) {
 		delete(s.unsent, id)
-		s.tellEnd(id, e.Cause, c)
+		if _, told := c.Unsure[id]; !told {
+			s.tellEnd(id, e.Cause, c)
+		}
 	}
 }
 
@@ -171,7 +179,7 @@
 		s.odd(from, badSetUp)
 		return
 	}
-	from.Asked = s.now
+	s.asks(from)
 	size := callSize + int64(len(up.Description))
 	if s.refusing() {
 		s.Counters[state.RefusalsOut]++
@@ -227,6 +235,7 @@
 		return
 	}
 	s.Counters[state.ReleasesIn]++
+	s.asks(from)
 	cause := m.Cause()
 	if cause == 0 {
 		cause = wire.CauseNormal
@@ -305,8 +314,8 @@
 	return wire.Text(wire.ParamStayAway, strconv.FormatInt((wait+999)/1000, 10))
 }
 
-// tellEnd releases a call towards its callers: on the connection given, else on that of any usual caller, else on
-// the next such. Guards against telling it to bad clients alone, who come by hundreds and forget it.
+// tellEnd releases a call towards its callers: on the connection given, else on that of any usual caller, else of one
+// that has asked for a call, and again to the next usual one. Guards against telling it to bad clients alone, who come by hundreds and forget it.
 func (s *Session) tellEnd(call uint64, cause byte, to *state.Caller) {
 	if to == nil || to.Conn == nil {
 		to = nil
@@ -315,13 +324,15 @@
 				to = c
 				break
 			}
+			if to == nil && c.Asked != 0 {
+				to = c // it may be a usual one's first
+			}
+		}
+		if to == nil || !to.Good {
+			s.unsent[call] = state.Ending{Cause: cause, At: s.now, Sent: to != nil}
 		}
 		if to == nil {
-			s.unsent[call] = state.Ending{Cause: cause, At: s.now, Sent: len(s.callers) > 0}
-			if len(s.callers) == 0 {
-				return
-			}
-			to = s.callers[len(s.callers)-1] // it may be a usual one's first
+			return
 		}
 	}
 	s.Counters[state.ReleasesOut]++
--- a/internal/session/exchange_test.go
+++ b/internal/session/exchange_test.go
@@ -29,6 +29,7 @@
 //	10 o1 refuse              what connects to the office find from now on: accept, refuse, silent
 //	10 term                   SIGTERM; end: the program has ended
 //	10 hup                    SIGHUP: the journal service is at j2 from now on
+//	10 q1 open                someone connects to the second address
 //
 // In bytes, [ ] stand for a two-byte length and what it counts, { } for a four-byte one, "" for text, and all
 // else is hex. What the program does is compared with the recording, to the byte and the millisecond.
@@ -144,7 +145,11 @@
 	case "open":
 		conn = &fakeConn{p: p, name: name}
 		p.conns[name] = conn
-		p.step(Arrival{Kind: Accepted, At: p.now, Conn: conn})
+		kind := Accepted
+		if name[0] == 'q' {
+			kind = Asked
+		}
+		p.step(Arrival{Kind: kind, At: p.now, Conn: conn})
 	case "reset":
 		conn.dead = true
 	case "close":
@@ -193,6 +198,9 @@
 // render writes bytes in that notation.
 func render(b []byte) string {
 	m, n, err := wire.Next(b)
+	if text, ok := strings.CutSuffix(string(b), "\n"); ok && n != len(b) {
+		return `"` + strings.ReplaceAll(text, "\n", `" 0a "`) + `" 0a`
+	}
 	if err != nil || n != len(b) || m.Bad {
 		return hex.EncodeToString(b)
 	}
