--- a/internal/session/leave.go
+++ b/internal/session/leave.go
@@ -9,7 +9,8 @@
 
 // Callers are sent away while a drain lasts, and after SIGTERM. New connections come for a while yet; then each
 // connection ends as soon as nothing is open on it, and where something always is, new set-ups are refused until
-// nothing is. From the start of a drain on, the times are:
+// nothing is. In a drain it stays while a call that was set up on it stands, for its end is to be told; after SIGTERM
+// another process tells it. From the start of a drain on, the times are:
 const (
 	// awayAfter: no connection ends before this. The front asks every 0.1 s and sends callers for 0.2 s more.
 	awayAfter = 450_000
@@ -46,7 +47,7 @@
 	}
 	for _, c := range slices.Clone(s.callers) {
 		switch {
-		case len(c.Open) == 0 && (c.Told || s.now-c.Since >= awayNew):
+		case len(c.Open) == 0 && (c.Stands == 0 || s.stop != 0) && (c.Told || s.now-c.Since >= awayNew):
 			s.drop(c.Conn, errAway)
 		case s.drain != 0 && away >= awayEnd-awayAfter && c.Asked > s.drain+awayRefuse:
 			s.turnAway(c)
--- a/internal/session/offices.go
+++ b/internal/session/offices.go
@@ -188,6 +188,7 @@
 	delete(s.over, c.ID)
 	st := &state.Standing{ID: c.ID, Office: o, From: c.From, Since: s.now}
 	s.stands[c.ID], o.Standing[c.ID] = st, st
+	c.From.Stands++
 }
 
 // outcomes of a release that comes before the answer, by cause.
@@ -226,6 +227,7 @@
 
 func (s *Session) endStanding(st *state.Standing) {
 	delete(s.stands, st.ID)
+	st.From.Stands--
 	delete(st.Office.Standing, st.ID)
 }
 
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -50,6 +50,7 @@
 	Part   int64            // since when In holds part of a message
 	Open   map[uint64]*Call // set-ups without a final answer
 	Quiet  int64            // since when no set-up is open
+	Stands int              // calls set up on it that stand
 	Asked  int64            // when its last set-up came
 	Told   bool             // it has had an answer, a refusal or a test's result
 	Good   bool             // a call of it stood, or it has heard of the end of one: no bad client gets so far
