--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -88,20 +88,56 @@
 	}
 }
 
-// A call goes through the program on real sockets, with the smallest limits and bad clients beside it, a SIGHUP comes before it serves and two while the call stands,
-// and SIGTERM ends it with all answered. Guards against what recordings cannot show: nbio 1.6.8 connected every
-// office at 0.0.0.0, and a SIGHUP that nobody had asked for ended the program.
-func TestCallOnSockets(t *testing.T) {
-	office, journal, next, free := port(t), port(t), port(t), port(t)
-	listen := free.Addr().String()
-	_ = free.Close()
-	text := fmt.Sprintf(`{"name":"n0","listen":"%s","seed":"8c1f30d27a5be964",
+// free is an address on which nobody listens.
+func free(t *testing.T) string {
+	l := port(t)
+	_ = l.Close()
+	return l.Addr().String()
+}
+
+// configuration is a whole one, with one office and the smallest limits.
+func configuration(listen, control string, journal, office net.Listener) string {
+	return fmt.Sprintf(`{"name":"n0","listen":"%s","control":"%s","seed":"8c1f30d27a5be964",
 		"limits":{"cores":0.2,"memory_mb":32,"sockets":256},"journal":"%s",
 		"known":{"pos":3,"entries":[{"pos":3,"hosts":{"whole":true,"hosts":[
 			{"host":"s-00000001","dial":"%s","block":0,"health":"SERVING","share":1}]}}]},
 		"settings":{"balancers":1,"quantum_us":5000,"classes":[
 			{"name":"sale-auth","aim_us":800000,"deadline_us":6000000,"importance":6,"effect":"free"}],
-			"policy_limits":{"may_cancel":true,"most_tries":6}}}`, listen, journal.Addr(), office.Addr())
+			"policy_limits":{"may_cancel":true,"most_tries":6}}}`, listen, control, journal.Addr(), office.Addr())
+}
+
+// setUp is a caller's set-up.
+func setUp(call uint64) wire.Message {
+	m := wire.SetUp{Class: "sale-auth", Number: "n/1", Description: []byte("offer")}.Onward(call, 6_000_000)
+	m.Params = append(m.Params, wire.Text(wire.ParamInfo, "dest:0;width:1;via:-1"))
+	return m
+}
+
+func answerTo(call uint64) wire.Message {
+	return wire.Message{Type: wire.TypeAnswer, Call: call, Params: []wire.Param{{Code: wire.ParamDescription, Value: []byte{0, 255}}}}
+}
+
+// ask sends one line to a second address and reads the whole answer.
+func ask(t *testing.T, address, line string) string {
+	t.Helper()
+	conn, err := net.Dial("tcp4", address)
+	p := newPeer(t, conn, err)
+	if _, err := p.conn.Write([]byte(line + "\n")); err != nil {
+		t.Fatal(err)
+	}
+	text, err := io.ReadAll(p.conn)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+// A call goes through the program on real sockets, with the smallest limits and bad clients beside it, a SIGHUP comes
+// before it serves and two while the call stands, and SIGTERM ends it with all answered. Guards against what recordings cannot show: nbio 1.6.8 connected every
+// office at 0.0.0.0, and a SIGHUP that nobody had asked for ended the program.
+func TestCallOnSockets(t *testing.T) {
+	office, journal, next, listen, control := port(t), port(t), port(t), free(t), free(t)
+	text := configuration(listen, control, journal, office)
 	path := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
@@ -140,15 +176,21 @@
 	if m := caller.want(wire.TypeTested, 0); m.Cause() != 1 {
 		t.Errorf("the test gave %+v", m)
 	}
-	up := wire.SetUp{Class: "sale-auth", Number: "n/1", Description: []byte("offer")}
-	m := up.Onward(7, 6_000_000)
-	m.Params = append(m.Params, wire.Text(wire.ParamInfo, "dest:0;width:1;via:-1"))
-	caller.write(m)
+	caller.write(setUp(7))
 	server.want(wire.TypeSetUp, 7)
-	server.write(wire.Message{Type: wire.TypeAnswer, Call: 7, Params: []wire.Param{{Code: wire.ParamDescription, Value: []byte{0, 255}}}})
+	server.write(answerTo(7))
 	if d, _ := caller.want(wire.TypeAnswer, 7).Get(wire.ParamDescription); string(d) != "\x00\xff" {
 		t.Errorf("the description came as % x", d)
 	}
+	for line, want := range map[string][]string{"READY": {"200 "}, "STATS": {"200 ", "app.completed.sale-auth:1|c\n",
+		"app.upstream_requests:1|c\n", "app.pending:1|g\n", "app.members:1|g\n", "\nEOF\n"}, "": {"400 "}} {
+		got := ask(t, control, line)
+		for _, part := range want {
+			if !strings.Contains(got, part) {
+				t.Errorf("%q was answered with %q, which lacks %q", line, got, part)
+			}
+		}
+	}
 	for _, file := range []string{"{", strings.Replace(text, journal.Addr().String(), next.Addr().String(), 1)} {
 		if err := os.WriteFile(path, []byte(file), 0o600); err != nil {
 			t.Fatal(err)
