--- a/internal/session/offices.go
+++ b/internal/session/offices.go
@@ -134,10 +134,10 @@
 		delete(o.Ended, m.Call)
 	case wire.TypeGroup:
 		// Comes unasked, again and again; the module draws by the free lines.
-		if gap := s.now - o.Told; o.Told != 0 && (s.pulse == 0 || gap < s.pulse) {
-			s.pulse = max(1, gap)
+		if o.Told != 0 {
+			s.pulsed(at - o.Told)
 		}
-		o.Told = s.now
+		o.Told = at
 		s.event(decide.Event{Kind: decide.Checked, Server: o.ID, Outcome: decide.OK, Load: m.Load()})
 	case wire.TypeProgress, wire.TypeTested:
 	default:
@@ -321,15 +321,37 @@
 	s.redial(o)
 }
 
+// pulsed learns the usual time between two tellings. Guards against one that was late, after which the next seems
+// early, or of which several were missed: a gap counts for half to twice what is usual.
+func (s *Session) pulsed(gap int64) {
+	if s.pulse == 0 {
+		s.pulse = gap
+	}
+	s.pulse = max(1, s.pulse+(min(max(gap, s.pulse/2), 2*s.pulse)-s.pulse)/8)
+}
+
+// mute tells whether a connection brings nothing any more.
+func (s *Session) mute(o *state.Office) bool {
+	if s.pulse == 0 {
+		return false
+	}
+	due := o.Told + s.pulse
+	overdue := o.Told != 0 && o.Heard < due && s.now >= due+max(lateTold, s.pulse/latePart)
+	return overdue || s.now-o.Heard >= max(officeSilence, s.pulse+s.pulse/2)
+}
+
 // watchOffices ends connections to offices on which a message has begun and does not end, or nothing comes any more.
 func (s *Session) watchOffices() {
+	// Guards against taking our own stand-still for theirs: what came meanwhile may not have been read yet.
+	stoodStill := s.now-s.watched > 2*watch
+	s.watched = s.now
 	for _, o := range s.offices.All() {
 		switch {
 		case o.Conn == nil:
 		case len(o.In) > 0 && s.now-o.Partial >= wholeWithin:
 			s.Counters[state.BadIn]++
 			s.drop(o.Conn, errPartial)
-		case len(o.Out)+len(o.Standing) > 0 && s.pulse > 0 && s.now-o.Heard >= max(officeSilence, s.pulse+s.pulse/2):
+		case len(o.Out)+len(o.Standing) > 0 && !stoodStill && s.mute(o):
 			s.drop(o.Conn, errMute)
 		}
 	}
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -69,11 +69,13 @@
 	wholeWithin = 100_000
 	watch       = 20_000
 	// officeSilence is how long an office at which anything is out or stands may say nothing at all. Offices tell
-	// their free lines unasked, every half second or so: it is the shortest such time and half as much again, for
-	// what is late by less may be the network's or our own delay, and this much at least.
+	// their free lines unasked, every half second or so: it is the usual such time and half as much again, and this
+	// much at least; or until the next telling is overdue, if nothing else has come since it was due.
 	// Guards against a connection that stays open and brings nothing any more: the releases of all calls that
 	// stand there would be missed.
 	officeSilence = 600_000
+	// A telling is overdue one part in latePart of the time between two, and lateTold at least, after it was due.
+	latePart, lateTold = 5, 100_000
 	// callerWithin is how long a caller's connection may take to bring its first whole set-up, test or release,
 	// and each later message from its first byte to its last. A bad client is owed an end within 3 s.
 	callerWithin = 2_000_000
@@ -149,7 +151,8 @@
 	dialLimit  int64
 	longest    int64 // the longest deadline of a class
 
-	pulse   int64              // shortest time between two tellings of free lines; 0: not known
+	pulse   int64              // usual time between two tellings of free lines; 0: not known
+	watched int64              // when connections to offices were last looked at
 	roles   map[state.Conn]any // *state.Caller, *state.Office or *journal
 	callers []*state.Caller    // in the order in which they came
 	askers  []*state.Asker     // in the order in which they came
