--- a/internal/service/queue.go
+++ b/internal/service/queue.go
@@ -27,13 +27,13 @@
 	items    []session.Arrival
 	most     int // bytes
 	bytes    int
-	accepted int
+	accepted map[session.ArrivalKind]int
 	waiting  map[state.Conn]int // bytes of each connection; over perConn: given up
 	wake     chan struct{}
 }
 
 func newQueue(memoryMB int64) *queue {
-	q := &queue{wake: make(chan struct{}, 1), waiting: map[state.Conn]int{},
+	q := &queue{wake: make(chan struct{}, 1), waiting: map[state.Conn]int{}, accepted: map[session.ArrivalKind]int{},
 		most: max(leastQueue, int(queuePart*float64(memoryMB<<20)))}
 	q.room.L = &q.mu
 	return q
@@ -58,11 +58,11 @@
 			a.Kind, a.Data = session.Flooded, nil
 		}
 		q.bytes += size
-	case session.Accepted: // not those of the second address, which are few and wait for a second only
-		for q.accepted >= maxAccepted {
+	case session.Accepted, session.Asked: // each alone: callers by hundreds do not keep anyone off the second address
+		for q.accepted[a.Kind] >= maxAccepted {
 			q.room.Wait()
 		}
-		q.accepted++
+		q.accepted[a.Kind]++
 	}
 	q.items = append(q.items, a)
 	q.mu.Unlock()
@@ -78,7 +78,8 @@
 	defer q.mu.Unlock()
 	items := q.items
 	clear(buf)
-	q.items, q.bytes, q.accepted = buf[:0], 0, 0
+	q.items, q.bytes = buf[:0], 0
+	clear(q.accepted)
 	clear(q.waiting)
 	q.room.Broadcast()
 	return items
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -260,6 +260,9 @@
 	for range maxAccepted {
 		q.put(session.Arrival{Kind: session.Accepted})
 	}
+	for range maxAccepted { // callers' connections do not count there
+		q.put(session.Arrival{Kind: session.Asked})
+	}
 	put := make(chan bool)
 	go func() {
 		q.put(session.Arrival{Kind: session.Accepted})
--- a/internal/service/takeover_test.go
+++ b/internal/service/takeover_test.go
@@ -4,14 +4,13 @@
 	"encoding/json"
 	"io"
 	"log/slog"
+	"net"
 	"os"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
 
-	"net"
-
 	"pewterwheel/internal/wire"
 )
 
