--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -309,6 +309,9 @@
 	if sent > 8 {
 		t.Errorf("%d attempts in 4 s at a server that turned all away", sent)
 	}
+	if !r.n.Avoids("a") || !r.n.Avoids("unknown") {
+		t.Error("a server that is left alone is not told as avoided")
+	}
 }
 
 // At the end of control every held call once left together.
@@ -561,6 +564,9 @@
 func TestSilentServer(t *testing.T) {
 	r := newRig(t, testSettings(), up("a", 0), up("b", 1))
 	r.settle(0, 1)
+	if r.n.Avoids("a") || r.n.Avoids("b") {
+		t.Error("servers in health are told as avoided")
+	}
 	start := r.now
 	stuck := r.one(Send, r.order(1, 0, 0))
 	for len(of(Cancel, r.all)) == 0 && r.now < start+3*sec {
@@ -583,6 +589,9 @@
 	if trials > 2 {
 		t.Errorf("%d set-ups to the silent server in 3 s", trials)
 	}
+	if !r.n.Avoids("a") || r.n.Avoids("b") {
+		t.Error("the silent server alone is avoided")
+	}
 }
 
 // A slow server that still answers must not be taken for a silent one.
