--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,150 @@
+package membership
+
+import (
+	"encoding/binary"
+	"errors"
+	"net/netip"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"pewterwheel/decide"
+	"pewterwheel/internal/wire"
+)
+
+func member(name string, port uint16) Member {
+	return Member{Name: name, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port), Weight: 1}
+}
+
+// A reload says nothing of what stays, drains what left, starts a known name at a new address cold, and removes what
+// left once nothing stands there, or its linger time is over.
+func TestFileReload(t *testing.T) {
+	a, b, c := member("a", 1), member("b", 2), member("c", 3)
+	f := NewFile([]Member{a, b, c}, 10_000)
+	var got []wire.Change
+	take := func(c wire.Change) { got = append(got, c) }
+	if err := f.Start(5, take); err != nil || len(got) != 1 || len(got[0].Offices) != 3 || got[0].Offices[0].Started != 0 {
+		t.Fatalf("the start told %v, %v", got, err)
+	}
+	moved := member("b", 9)
+	got = nil
+	if err := f.Reload(100, Update{Members: []Member{a, moved}, Linger: 10_000}, take); err != nil {
+		t.Fatal(err)
+	}
+	want := map[decide.ServerID]decide.Listed{
+		moved.ID(): {ID: moved.ID(), Share: 1, Started: 100},
+		b.ID():     {ID: b.ID(), Share: 1, State: decide.Draining},
+		c.ID():     {ID: c.ID(), Share: 1, State: decide.Draining},
+	}
+	if len(got) != 1 || len(got[0].Offices) != len(want) {
+		t.Fatalf("the reload told %+v", got)
+	}
+	for _, o := range got[0].Offices {
+		if o.Listed != want[o.ID] {
+			t.Errorf("told %+v, want %+v", o.Listed, want[o.ID])
+		}
+	}
+	standing := map[decide.ServerID]int{c.ID(): 1}
+	stands := func(id decide.ServerID) int { return standing[id] }
+	got = nil
+	f.Tick(200, stands, take)
+	if len(got) != 1 || len(got[0].Offices) != 1 || got[0].Offices[0].ID != b.ID() || got[0].Offices[0].State != decide.Removed {
+		t.Errorf("with a call at c the tick told %+v", got)
+	}
+	got = nil
+	f.Tick(10_099, stands, take)
+	if got != nil {
+		t.Errorf("before the linger time was over the tick told %+v", got)
+	}
+	f.Tick(10_100, stands, take)
+	if len(got) != 1 || got[0].Offices[0].ID != c.ID() || got[0].Offices[0].State != decide.Removed {
+		t.Errorf("after the linger time the tick told %+v", got)
+	}
+}
+
+// Whatever files follow each other, an observer of the changes has the list of the last file, each host that is on it
+// with the state that the file gives, and each that left it is draining or gone; numbers grow by one.
+func TestFileFollowsFiles(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := func() []Member {
+			var ms []Member
+			for _, port := range rapid.SliceOfDistinct(rapid.Uint16Range(1, 8), rapid.ID[uint16]).Draw(t, "ports") {
+				m := member(string(rune('a'+port%4)), port)
+				m.Draining, m.Place = rapid.Bool().Draw(t, "draining"), rapid.IntRange(0, 2).Draw(t, "place")
+				ms = append(ms, m)
+			}
+			return ms
+		}
+		now, number := int64(1), uint64(0)
+		seen := map[decide.ServerID]wire.Office{}
+		take := func(c wire.Change) {
+			if number++; c.Number != number || len(c.Offices) == 0 {
+				t.Fatalf("change %d with %d offices came as number %d", number, len(c.Offices), c.Number)
+			}
+			for _, o := range c.Offices {
+				if old, ok := seen[o.ID]; ok && old.Listed == o.Listed {
+					t.Fatalf("%+v was told again", o)
+				}
+				if seen[o.ID] = o; o.State == decide.Removed {
+					delete(seen, o.ID)
+				}
+			}
+		}
+		members := list()
+		f := NewFile(members, 50)
+		_ = f.Start(now, take)
+		for range rapid.IntRange(1, 8).Draw(t, "steps") {
+			now += rapid.Int64Range(1, 40).Draw(t, "pause")
+			if rapid.Bool().Draw(t, "tick") {
+				f.Tick(now, func(decide.ServerID) int { return rapid.IntRange(0, 1).Draw(t, "stands") }, take)
+				continue
+			}
+			members = list()
+			_ = f.Reload(now, Update{Members: members, Linger: 50}, take)
+		}
+		on := map[decide.ServerID]bool{}
+		for _, m := range members {
+			on[m.ID()] = true
+			if o, ok := seen[m.ID()]; !ok || o.State != stateOf(m) || o.Place != m.Place {
+				t.Fatalf("%+v is known as %+v, %v", m, o, ok)
+			}
+		}
+		for id, o := range seen {
+			if !on[id] && o.State == decide.Up {
+				t.Fatalf("%s has left the file and is up", id)
+			}
+		}
+	})
+}
+
+// Frames may come in pieces; a gap and a length that is none are errors, after which a new connection resumes.
+func TestJournalFrames(t *testing.T) {
+	j := NewJournal("x:1", wire.Known{Last: 3}, nil)
+	taken := 0
+	take := func(wire.Change) { taken++ }
+	if err := j.Start(0, take); err != nil {
+		t.Fatal(err)
+	}
+	if ask := j.Ask(5); binary.BigEndian.Uint64(ask) != 3 || j.Heard() != 5 {
+		t.Errorf("asked with % x, heard at %d", ask, j.Heard())
+	}
+	frame := func(number uint64, kind byte) []byte {
+		b := binary.BigEndian.AppendUint64([]byte{0, 0, 0, 9}, number)
+		return append(b, kind)
+	}
+	for i, b := range append(frame(4, 2), frame(4, 0)...) {
+		if err := j.Feed(int64(10+i), []byte{b}, take); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if taken != 1 || j.Last() != 4 || j.Heard() != 35 {
+		t.Errorf("taken %d, last %d, heard at %d", taken, j.Last(), j.Heard())
+	}
+	var skipped *SkippedError
+	if err := j.Feed(40, frame(6, 2), take); !errors.As(err, &skipped) || skipped.Last != 4 || skipped.Number != 6 {
+		t.Errorf("a gap gave %v", err)
+	}
+	if err := j.Feed(41, []byte{0, 0, 0, 1, 0, 0, 0, 0}, take); err == nil {
+		t.Error("a frame of one byte was taken")
+	}
+}
--- a/internal/service/config.go
+++ b/internal/service/config.go
@@ -7,6 +7,8 @@
 	"os"
 	"strconv"
 
+	"pewterwheel/decide"
+	"pewterwheel/internal/membership"
 	"pewterwheel/internal/session"
 	"pewterwheel/internal/wire"
 )
@@ -25,6 +27,12 @@
 	Journal  string        `json:"journal"`
 	Known    wire.Known    `json:"known"`
 	Settings wire.Settings `json:"settings"`
+
+	// A sidecar's configuration comes from another form of file and has no journal: the list is in the file.
+	Members []membership.Member                                    `json:"-"`
+	Linger  int64                                                  `json:"-"` // microseconds; see membership.NewFile
+	Node    func(decide.Settings, uint64) (session.Decider, error) `json:"-"` // nil: the module alone
+	Part    any                                                    `json:"-"` // for a Node that is a session.Reloader
 }
 
 // ReadConfig reads the configuration. Unknown fields are passed over: newer platforms tell more.
@@ -51,6 +59,17 @@
 	if err != nil {
 		return session.Config{}, fmt.Errorf("configuration: seed: %w", err)
 	}
-	return session.Config{Settings: c.Settings, Known: c.Known, Journal: c.Journal, Sockets: c.Limits.Sockets,
-		Memory: c.Limits.MemoryMB << 20, Seed: seed}, nil
+	cfg := session.Config{Settings: c.Settings, Sockets: c.Limits.Sockets, Memory: c.Limits.MemoryMB << 20, Seed: seed,
+		Node: c.Node}
+	if c.Journal != "" {
+		cfg.Source = membership.NewJournal(c.Journal, c.Known, c.Settings.Zones)
+	} else {
+		cfg.Source = membership.NewFile(c.Members, c.Linger)
+	}
+	return cfg, nil
+}
+
+// Update is what a configuration that was read anew tells a running program.
+func (c Config) Update() membership.Update {
+	return membership.Update{Address: c.Journal, Known: c.Known, Members: c.Members, Linger: c.Linger, Part: c.Part}
 }
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -69,7 +69,7 @@
 		return session.Arrival{Kind: session.Report}
 	case syscall.SIGHUP:
 		cfg, err := read()
-		return session.Arrival{Kind: session.Reload, Journal: cfg.Journal, Known: cfg.Known, Err: err}
+		return session.Arrival{Kind: session.Reload, Update: cfg.Update(), Err: err}
 	}
 	return session.Arrival{Kind: session.Stop}
 }
--- a/internal/session/exchange_test.go
+++ b/internal/session/exchange_test.go
@@ -16,6 +16,7 @@
 	"strings"
 	"testing"
 
+	"pewterwheel/internal/membership"
 	"pewterwheel/internal/state"
 	"pewterwheel/internal/wire"
 )
@@ -137,7 +138,7 @@
 		return
 	}
 	if words[1] == "hup" {
-		p.step(Arrival{Kind: Reload, At: p.now, Journal: "journal2"})
+		p.step(Arrival{Kind: Reload, At: p.now, Update: membership.Update{Address: "journal2"}})
 		return
 	}
 	name, conn := words[1], p.conns[words[1]]
@@ -217,12 +218,14 @@
 
 func newPlayer(t *testing.T) *player {
 	p := &player{t: t, conns: map[string]*fakeConn{}, policy: map[string]string{}}
-	cfg := Config{Journal: "journal", Sockets: 1024, Seed: 7}
-	for text, into := range map[string]any{settings: &cfg.Settings, known: &cfg.Known} {
+	cfg := Config{Sockets: 1024, Seed: 7}
+	var first wire.Known
+	for text, into := range map[string]any{settings: &cfg.Settings, known: &first} {
 		if err := json.Unmarshal([]byte(text), into); err != nil {
 			t.Fatal(err)
 		}
 	}
+	cfg.Source = membership.NewJournal("journal", first, cfg.Settings.Zones)
 	var err error
 	if p.s, err = New(cfg, p, slog.New(slog.DiscardHandler), 0); err != nil {
 		t.Fatal(err)
--- a/internal/session/journal.go
+++ b/internal/session/journal.go
@@ -1,36 +1,38 @@
 package session
 
 import (
-	"encoding/binary"
+	"errors"
 
 	"pewterwheel/decide"
+	"pewterwheel/internal/membership"
 	"pewterwheel/internal/state"
 	"pewterwheel/internal/wire"
 )
 
-// journal is the subscription to the changes of the list.
+// journal is the connection to the service that tells the changes of the list, where the source has one.
 type journal struct {
-	address  string
 	conn     state.Conn
 	dialling uint64 // the dial that is under way; 0: none
 	dialled  int64  // when it began
-	in       []byte
-	last     uint64 // number of the last event taken
-	heard    int64  // when the last whole frame came
-	seen     bool   // it has come up since the start
+	seen     bool   // it has come up since the start, or none is needed
 }
 
 func (s *Session) dialJournal() {
+	address := s.source.Address()
+	if address == "" {
+		s.journal.seen = true
+		return
+	}
 	s.journal.dialled = s.now
-	s.journal.dialling = s.dial(s.journal.address, nil)
+	s.journal.dialling = s.dial(address, nil)
 }
 
 // journalOpen asks for all that came after the last event we have.
 func (s *Session) journalOpen(conn state.Conn) {
 	j := &s.journal
-	j.dialling, j.conn, j.in, j.heard, j.seen = 0, conn, nil, s.now, true
+	j.dialling, j.conn, j.seen = 0, conn, true
 	s.roles[conn] = j
-	if _, err := conn.Write(binary.BigEndian.AppendUint64(nil, j.last)); err != nil {
+	if _, err := conn.Write(s.source.Ask(s.now)); err != nil {
 		s.drop(conn, err)
 	}
 }
@@ -38,15 +40,15 @@
 func (s *Session) journalLost(err error) {
 	j := &s.journal
 	s.Counters[state.JournalLost]++
-	s.log.Warn("journal lost", "last", j.last, "error", err)
-	j.conn, j.dialling, j.in = nil, 0, nil
+	s.log.Warn("journal lost", "last", s.source.Last(), "error", err)
+	j.conn, j.dialling = nil, 0
 	if s.now-j.dialled >= journalAgain { // else watchJournal does
 		s.dialJournal()
 	}
 }
 
-// reload moves to the journal address of a configuration that was read anew. The numbers go on there, and so
-// does all else that the program holds. Events that the file already knows need not be waited for.
+// reload takes a configuration that was read anew: the list's source moves on, and so does what stands before the
+// module, if that can. All else that the program holds goes on.
 func (s *Session) reload(a Arrival) {
 	j := &s.journal
 	if a.Err != nil {
@@ -55,70 +57,65 @@
 		return
 	}
 	s.Counters[state.Reloads]++
-	s.log.Info("configuration read anew", "journal", a.Journal, "last", j.last, "known", a.Known.Last)
-	for _, entry := range a.Known.Entries {
-		if entry.Number <= j.last || entry.Number > j.last+1 && !entry.List.Whole {
-			continue
+	address := s.source.Address()
+	s.log.Info("configuration read anew", "journal", a.Update.Address, "last", s.source.Last(), "known", a.Update.Known.Last)
+	if r, ok := s.node.(Reloader); ok && a.Update.Part != nil {
+		s.acts = r.Reload(s.now, a.Update.Part, s.acts[:0])
+		for _, act := range s.acts {
+			s.act(act)
 		}
-		c, err := entry.Change(s.set.Zones)
-		if err != nil {
-			s.log.Error("configuration unreadable", "error", err)
-			break
-		}
-		j.last = c.Number
-		s.change(c)
 	}
-	if a.Journal == j.address {
+	if err := s.source.Reload(s.now, a.Update, s.change); err != nil {
+		s.log.Error("configuration unreadable", "error", err)
+	}
+	if s.source.Address() == address {
 		return
 	}
-	j.address = a.Journal
 	delete(s.dials, j.dialling) // it leads to the old one
 	if j.dialling = 0; j.conn != nil {
 		delete(s.roles, j.conn)
 		_ = j.conn.Close() // its end is what is asked for
-		j.conn, j.in = nil, nil
+		j.conn = nil
 	}
 	s.dialJournal()
 }
 
-// watchJournal connects again, and ends a connection that no longer brings even its empty frames.
+// watchJournal connects again, and ends a connection that no longer brings even its empty frames. It also lets the
+// source tell what has come due by time alone.
 func (s *Session) watchJournal() {
 	j := &s.journal
+	s.source.Tick(s.now, s.busy, s.change)
 	switch {
-	case j.conn != nil && s.now-j.heard > journalSilence:
+	case j.conn != nil && s.now-s.source.Heard() > journalSilence:
 		s.drop(j.conn, errSilent)
 	case j.conn == nil && j.dialling == 0:
 		s.dialJournal()
 	}
 }
 
+// busy is how many calls stand at an office or are out there.
+func (s *Session) busy(id decide.ServerID) int {
+	o := s.offices.Get(id)
+	if o == nil {
+		return 0
+	}
+	return len(o.Standing) + len(o.Out) + len(o.Ended)
+}
+
 func (s *Session) fromJournal(data []byte) {
-	j := &s.journal
-	buf := append(j.in, data...)
-	for {
-		c, n, err := wire.NextFrame(buf)
-		if err != nil {
-			s.Counters[state.BadIn]++
-			s.drop(j.conn, err) // a new connection resumes after the last event that could be read
-			return
-		}
-		if n == 0 {
-			break
-		}
-		buf, j.heard = buf[n:], s.now // a frame that never ends is silence, too
-		if c.Empty || c.Number <= j.last {
-			continue
-		}
-		if c.Number > j.last+1 && !c.Whole {
-			s.log.Warn("journal skipped events", "last", j.last, "number", c.Number)
-			s.drop(j.conn, nil) // changes only hold on top of all earlier ones: ask again
-			return
-		}
-		j.last = c.Number
+	err := s.source.Feed(s.now, data, func(c wire.Change) {
 		s.Counters[state.JournalEvents]++
 		s.change(c)
+	})
+	var skipped *membership.SkippedError
+	switch {
+	case errors.As(err, &skipped):
+		s.log.Warn("journal skipped events", "last", skipped.Last, "number", skipped.Number)
+		s.drop(s.journal.conn, nil) // changes only hold on top of all earlier ones: ask again
+	case err != nil:
+		s.Counters[state.BadIn]++
+		s.drop(s.journal.conn, err) // a new connection resumes after the last event that could be read
 	}
-	j.in = append([]byte(nil), buf...)
 }
 
 // change takes one event of the journal: the list, what it ends, and the module's view of it.
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -12,6 +12,7 @@
 	"slices"
 
 	"pewterwheel/decide"
+	"pewterwheel/internal/membership"
 	"pewterwheel/internal/state"
 	"pewterwheel/internal/wire"
 )
@@ -22,6 +23,11 @@
 	Avoids(id decide.ServerID) bool
 }
 
+// Reloader is a Decider that takes its own part of a configuration that was read anew, and answers with actions.
+type Reloader interface {
+	Reload(now int64, part any, out []decide.Action) []decide.Action
+}
+
 // Network opens connections; the result comes back as an arrival of kind Dialled.
 type Network interface {
 	Dial(address string, id uint64)
@@ -38,7 +44,7 @@
 	Closed                          // Conn, Err
 	Stop                            // end once all that was taken is answered
 	Report                          // log the counters
-	Reload                          // the configuration was read anew: Journal, Known; or could not be: Err
+	Reload                          // the configuration was read anew: Update; or could not be: Err
 	Asked                           // someone connected to the second address: Conn
 	Flooded                         // Conn sent more than is kept for it; the rest is lost
 )
@@ -52,8 +58,7 @@
 	Dial uint64
 	Err  error
 
-	Journal string
-	Known   wire.Known
+	Update membership.Update
 }
 
 // Times of the program's own, in microseconds; those of the service come with its settings.
@@ -118,11 +123,12 @@
 // Config is what a Session is made from.
 type Config struct {
 	Settings wire.Settings
-	Known    wire.Known
-	Journal  string
+	Source   membership.Source
 	Sockets  int
 	Memory   int64 // bytes; 0: not limited
 	Seed     uint64
+	// Node makes what decides; nil: the module alone.
+	Node func(decide.Settings, uint64) (Decider, error)
 }
 
 // Session is one running session controller. All of it belongs to one goroutine.
@@ -132,6 +138,7 @@
 	net     Network
 	node    Decider
 	log     *slog.Logger
+	source  membership.Source
 	journal journal
 	now     int64
 	wheel   *state.Wheel
@@ -175,7 +182,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	node, err := decide.New(set, cfg.Seed)
+	if cfg.Node == nil {
+		cfg.Node = func(set decide.Settings, seed uint64) (Decider, error) { return decide.New(set, seed) }
+	}
+	node, err := cfg.Node(set, cfg.Seed)
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
@@ -199,14 +209,10 @@
 		s.longest = max(s.longest, c.Deadline)
 	}
 	s.event(decide.Event{Kind: decide.Start})
-	for _, entry := range cfg.Known.Entries {
-		c, err := entry.Change(cfg.Settings.Zones)
-		if err != nil {
-			return nil, fmt.Errorf("known: %w", err)
-		}
-		s.change(c)
+	s.source = cfg.Source
+	if err := s.source.Start(now, s.change); err != nil {
+		return nil, err
 	}
-	s.journal = journal{address: cfg.Journal, last: cfg.Known.Last}
 	s.dialJournal()
 	s.wheel.Set(now+watch, state.Timer{Kind: state.TimerPartial})
 	s.wheel.Set(now+sweep, state.Timer{Kind: state.TimerSweep})
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -6,21 +6,24 @@
 	"pewterwheel/decide"
 )
 
+// ClassSettings is what the settings say of one class of call.
+type ClassSettings struct {
+	Name     string  `json:"name"`
+	Aim      int64   `json:"aim_us"`
+	Deadline int64   `json:"deadline_us"`
+	Worth    float64 `json:"importance"`
+	Late     float64 `json:"late_worth"`
+	Effect   string  `json:"effect"`
+	Scope    string  `json:"dedup_scope"`
+	Window   int64   `json:"key_ttl_us"`
+}
+
 // Settings is the settings object as it stands in JSON, for the adapter and the real program alike.
 type Settings struct {
-	Zones     []string `json:"areas"`
-	Balancers int      `json:"balancers"`
-	Classes   []struct {
-		Name     string  `json:"name"`
-		Aim      int64   `json:"aim_us"`
-		Deadline int64   `json:"deadline_us"`
-		Worth    float64 `json:"importance"`
-		Late     float64 `json:"late_worth"`
-		Effect   string  `json:"effect"`
-		Scope    string  `json:"dedup_scope"`
-		Window   int64   `json:"key_ttl_us"`
-	} `json:"classes"`
-	Discovery string `json:"discovery"`
+	Zones     []string        `json:"areas"`
+	Balancers int             `json:"balancers"`
+	Classes   []ClassSettings `json:"classes"`
+	Discovery string          `json:"discovery"`
 	Info      struct {
 		Cells  [][]int `json:"class_cells"`
 		Widths []int   `json:"class_width"`
