--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The commands that CI and people share. `make run` needs BALANCER_CONFIG, as the platform sets it.
-.PHONY: all build test lint run
+.PHONY: all build test lint run demo
 
 all: lint build test
 
@@ -10,9 +10,13 @@
 	go test ./...
 
 lint:
-	@unformatted=$$(gofmt -l cmd decide internal); \
+	@unformatted=$$(gofmt -l cmd decide examples internal); \
 	if [ -n "$$unformatted" ]; then echo "not gofmt clean: $$unformatted"; exit 1; fi
 	go vet ./...
 
 run: build
 	exec bin/pewterwheel
+
+# Two sidecars beside stand-in offices on this machine; fails if a rule is broken.
+demo: build
+	bin/pewterwheel demo
--- a/cmd/pewterwheel/main.go
+++ b/cmd/pewterwheel/main.go
@@ -1,16 +1,7 @@
-// Command pewterwheel is a session controller on real sockets.
+// Command pewterwheel is a session controller on real sockets, and the tool that writes and checks the configuration
+// of those that run as sidecars.
 package main
 
-import (
-	"fmt"
-	"os"
+import "pewterwheel/internal/cli"
 
-	"pewterwheel/internal/service"
-)
-
-func main() {
-	if err := service.Main(); err != nil {
-		fmt.Fprintln(os.Stderr, "pewterwheel:", err)
-		os.Exit(1)
-	}
-}
+func main() { cli.Main() }
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,117 @@
+// Package cli is the command line: the sub-commands, their flags and exit codes. What they do is in other packages.
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"pewterwheel/internal/service"
+	"pewterwheel/internal/sidecar"
+)
+
+// Exit codes.
+const (
+	Sound      = 0
+	Found      = 1 // findings, or the command failed
+	Unreadable = 2 // a file could not be read, or the command's words are off
+)
+
+// coded is an error with the exit code that it asks for; one without text has been told already.
+type coded struct {
+	code int
+	err  error
+}
+
+func (c *coded) Error() string {
+	if c.err == nil {
+		return ""
+	}
+	return c.err.Error()
+}
+
+// Execute carries out a command line and returns the exit code.
+func Execute(args []string, out, errs io.Writer) int {
+	root := &cobra.Command{Use: "pewterwheel", Short: "A session controller, beside applications or on the platform",
+		Long: "Without a command, pewterwheel is the platform's session controller and reads the configuration that\n" +
+			"BALANCER_CONFIG names. As a sidecar it reads the file that \"config write\" made.",
+		SilenceUsage: true, SilenceErrors: true, Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error { return service.Main() }}
+	root.AddCommand(configCommand(), sidecarCommand(), demoCommand())
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errs)
+	err := root.Execute()
+	var c *coded
+	switch {
+	case err == nil:
+		return Sound
+	case errors.As(err, &c):
+		if c.err != nil {
+			fmt.Fprintln(errs, "pewterwheel:", c.err)
+		}
+		return c.code
+	}
+	fmt.Fprintln(errs, "pewterwheel:", err)
+	return Unreadable // cobra's: an unknown command or flag, a missing argument
+}
+
+func sidecarCommand() *cobra.Command {
+	var path, format, level string
+	c := &cobra.Command{Use: "sidecar --config FILE", Short: "Check a sidecar's file, then serve by it", Args: cobra.NoArgs,
+		Long: "Checks the file with what \"config check\" uses and refuses to start on findings, with the same messages and\n" +
+			"exit code 1; then serves. SIGHUP reads the file anew, SIGTERM ends when all that was taken is answered.",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			signals := service.Signals()
+			var own slog.LevelVar
+			follow := &own
+			if level != "" {
+				if err := own.UnmarshalText([]byte(level)); err != nil {
+					return &coded{Unreadable, fmt.Errorf("--log-level %q: debug, info, warn or error", level)}
+				}
+				follow = nil
+			}
+			r := sidecar.NewReader(path, follow)
+			s, err := r.Settings()
+			var found *sidecar.FindingsError
+			switch {
+			case errors.As(err, &found):
+				for _, f := range found.Findings {
+					fmt.Fprintln(cmd.ErrOrStderr(), f)
+				}
+				return &coded{Found, nil}
+			case err != nil:
+				return &coded{Unreadable, err}
+			}
+			if format == "" {
+				format = s.LogFormat
+			}
+			log := sidecar.Logger(format, &own)
+			r.Log(log)
+			if err := service.Run(r.Read, signals, log); err != nil {
+				return &coded{Found, err}
+			}
+			return nil
+		}}
+	c.Flags().StringVar(&path, "config", "", "the file that \"config write\" made")
+	c.Flags().StringVar(&format, "log-format", "", "text or json, in place of what the file says")
+	c.Flags().StringVar(&level, "log-level", "", "debug, info, warn or error, in place of what the file says")
+	_ = c.MarkFlagRequired("config")
+	return c
+}
+
+// Main carries out the program's own command line.
+func Main() {
+	if len(os.Args) == 1 { // the platform's way: nothing is built up for commands
+		if err := service.Main(); err != nil {
+			fmt.Fprintln(os.Stderr, "pewterwheel:", err)
+			os.Exit(Found)
+		}
+		return
+	}
+	os.Exit(Execute(os.Args[1:], os.Stdout, os.Stderr))
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -123,6 +123,21 @@
 	Shut     uint64 // times a cold host was hidden from the module
 }
 
+// Figures gives the counts, and of each pool the part in a hundred of its calls that goes there now.
+func (r *Router) Figures(put func(name string, n uint64, gauge bool)) {
+	c := &r.Counts
+	put("route_spilled", c.Spilled, false)
+	put("route_moved", c.Moved, false)
+	put("route_borrowed", c.Borrowed, false)
+	put("route_limited", c.Limited, false)
+	put("route_repeats_refused", c.Repeats, false)
+	put("route_cold_shut", c.Shut, false)
+	for i := range r.pools {
+		put("route_flow."+r.cfg.Pools[i].Name, uint64(100*r.pools[i].flow), true)
+		put("route_open."+r.cfg.Pools[i].Name, uint64(r.pools[i].open), true)
+	}
+}
+
 // New returns a router before a module. The module is made by the caller from Config.Settings.
 func New(cfg Config, set decide.Settings, inner Inner, seed uint64) (*Router, error) {
 	if err := cfg.Check(len(set.Classes)); err != nil {
--- a/internal/session/control.go
+++ b/internal/session/control.go
@@ -109,6 +109,15 @@
 			avoided++
 		}
 	}
+	if f, ok := s.node.(Figurer); ok {
+		f.Figures(func(name string, n uint64, gauge bool) {
+			if gauge {
+				b = wire.Gauge(b, name, int(n))
+			} else {
+				b = wire.Count(b, name, "", n)
+			}
+		})
+	}
 	b = wire.Count(b, wire.FigureAttempts, "", s.Counters[state.AttemptsOut])
 	b = wire.Gauge(b, wire.FigurePending, s.open()+len(s.stands))
 	b = wire.Gauge(b, wire.FigureMembers, members)
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -28,6 +28,11 @@
 	Reload(now int64, part any, out []decide.Action) []decide.Action
 }
 
+// Figurer is a Decider that has figures of its own for staff: counts that only grow, and gauges.
+type Figurer interface {
+	Figures(put func(name string, n uint64, gauge bool))
+}
+
 // Network opens connections; the result comes back as an arrival of kind Dialled.
 type Network interface {
 	Dial(address string, id uint64)
--- /dev/null
+++ b/internal/standin/caller.go
@@ -0,0 +1,131 @@
+package standin
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"pewterwheel/internal/wire"
+)
+
+// ids are the calls' ids, one for each call of this process.
+var ids atomic.Uint64
+
+// Caller is an application's connection to its sidecar.
+type Caller struct {
+	pipe *pipe
+	book *Book
+	mu   sync.Mutex
+	open map[uint64]chan wire.Message
+	hold time.Duration
+	done sync.WaitGroup
+	down bool
+}
+
+// Dial connects to a sidecar. Calls that stand are released after the hold time.
+func Dial(address string, book *Book, hold time.Duration) (*Caller, error) {
+	conn, err := net.DialTimeout("tcp4", address, 5*time.Second)
+	if err != nil {
+		return nil, fmt.Errorf("stand-in caller: %w", err)
+	}
+	c := &Caller{pipe: &pipe{conn: conn}, book: book, open: map[uint64]chan wire.Message{}, hold: hold}
+	go c.read()
+	return c, nil
+}
+
+// Close ends the connection.
+func (c *Caller) Close() {
+	c.mu.Lock()
+	c.down = true
+	c.mu.Unlock()
+	_ = c.pipe.conn.Close()
+}
+
+func (c *Caller) read() {
+	for {
+		m, err := c.pipe.next()
+		if err != nil {
+			c.mu.Lock()
+			if !c.down && len(c.open) > 0 {
+				c.book.broken("a caller's connection ended with %d calls open: %v", len(c.open), err)
+			}
+			c.mu.Unlock()
+			return
+		}
+		switch m.Type {
+		case wire.TypeAnswer:
+			c.final(m, &c.book.Counts.Answered)
+			time.AfterFunc(c.hold, func() { _ = c.pipe.send(wire.ReleaseOf(m.Call, wire.CauseNormal)) })
+		case wire.TypeRelease:
+			c.mu.Lock()
+			_, open := c.open[m.Call]
+			c.mu.Unlock()
+			_ = c.pipe.send(wire.Message{Type: wire.TypeHeard, Call: m.Call})
+			switch {
+			case !open: // the end of a call that stood
+			case m.Cause() == wire.CauseCongestion:
+				c.final(m, &c.book.Counts.Refused)
+			default:
+				c.final(m, &c.book.Counts.Failed)
+			}
+		}
+	}
+}
+
+func (c *Caller) final(m wire.Message, sum *int) {
+	first := c.book.final(m.Call, sum)
+	c.mu.Lock()
+	ch := c.open[m.Call]
+	delete(c.open, m.Call)
+	c.mu.Unlock()
+	if first && ch != nil {
+		m.Params = nil // they share the connection's memory
+		ch <- m
+		c.done.Done()
+	}
+}
+
+// Call sends a set-up and returns where its one final answer will come.
+func (c *Caller) Call(class string, wait time.Duration) <-chan wire.Message {
+	id := ids.Add(1)
+	ch := make(chan wire.Message, 1)
+	c.mu.Lock()
+	c.open[id] = ch
+	c.mu.Unlock()
+	c.done.Add(1)
+	c.book.offered(id, time.Now().Add(wait))
+	m := wire.SetUp{Class: class, Number: fmt.Sprintf("n/%d", id), Description: []byte("offer")}.Onward(id, wait.Microseconds())
+	m.Params = append(m.Params, wire.Text(wire.ParamInfo, "dest:-1;width:1;via:-1"))
+	if err := c.pipe.send(m); err != nil {
+		c.book.broken("call %x could not be sent: %v", id, err)
+	}
+	return ch
+}
+
+// Offer sends calls of a class at a rate a second, whatever comes back, until it has sent so many or stop is closed.
+func (c *Caller) Offer(class string, wait time.Duration, rate float64, calls int, stop <-chan struct{}) {
+	begin := time.Now()
+	for i := range calls {
+		due := begin.Add(time.Duration(float64(i) / rate * float64(time.Second)))
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Until(due)):
+		}
+		c.Call(class, wait)
+	}
+}
+
+// Wait waits until every call has its final answer, for so long at the most.
+func (c *Caller) Wait(most time.Duration) bool {
+	all := make(chan struct{})
+	go func() { c.done.Wait(); close(all) }()
+	select {
+	case <-all:
+		return true
+	case <-time.After(most):
+		return false
+	}
+}
--- /dev/null
+++ b/internal/standin/office.go
@@ -0,0 +1,273 @@
+// Package standin holds scripted offices and callers that speak the binary protocol on loopback addresses, and the book
+// in which they write what they saw, for the demo and the tests. They are stand-ins: nothing in service imports them.
+package standin
+
+import (
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"pewterwheel/internal/wire"
+)
+
+// Mode is what an office does with a set-up.
+type Mode int
+
+// The modes.
+const (
+	Answer Mode = iota // answer it after its work is done
+	Full               // refuse it: the processor is full
+	Busy               // end it with a fault of the call
+	Reset              // close the connection on it
+	Silent             // take it and say nothing
+)
+
+// Script is how an office behaves from now on.
+type Script struct {
+	Mode Mode
+	// Work is the time that its one line spends on a set-up that is answered; a queue longer than Queue is Full.
+	Work, Queue time.Duration
+}
+
+// Bound is what a cold office bears.
+type Bound struct {
+	Start    float64       // least part of its capacity
+	Cold     time.Duration // it is warm after this
+	Multiple float64       // more work than this times its present capacity ...
+	Fall     time.Duration // ... for this long pushes it over
+}
+
+// Office is a call server.
+type Office struct {
+	Name    string
+	Address string
+	book    *Book
+	l       net.Listener
+
+	mu       sync.Mutex
+	script   Script
+	conns    map[net.Conn]bool
+	free     time.Time // when its line is worked off
+	standing map[uint64]bool
+	started  time.Time // zero: long ago
+	bound    Bound
+	sets     []time.Time // set-ups since it started cold
+	drained  time.Time   // when everybody had been told; zero: it is up
+	taken    int
+	fallen   bool
+}
+
+// NewOffice listens on an address and serves.
+func NewOffice(name, address string, book *Book, script Script) (*Office, error) {
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, fmt.Errorf("stand-in office %s: %w", name, err)
+	}
+	o := &Office{Name: name, Address: l.Addr().String(), book: book, l: l, script: script, conns: map[net.Conn]bool{},
+		standing: map[uint64]bool{}}
+	go o.accept()
+	return o, nil
+}
+
+// Cold tells that the office has just started, and what it bears.
+func (o *Office) Cold(b Bound) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.started, o.bound, o.sets = time.Now(), b, nil
+}
+
+// Script changes how the office behaves.
+func (o *Office) Script(s Script) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.script = s
+}
+
+// Drained tells whether everybody has been told, now, that nothing new goes to the office.
+func (o *Office) Drained(drained bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.drained = (time.Time{}); drained {
+		o.drained = time.Now()
+	}
+}
+
+// Taken is how many set-ups came, and Standing how many calls stand.
+func (o *Office) Taken() int { o.mu.Lock(); defer o.mu.Unlock(); return o.taken }
+
+// Standing is how many calls stand at the office.
+func (o *Office) Standing() int { o.mu.Lock(); defer o.mu.Unlock(); return len(o.standing) }
+
+// Close ends the office and its connections.
+func (o *Office) Close() {
+	_ = o.l.Close()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for c := range o.conns {
+		_ = c.Close()
+	}
+}
+
+func (o *Office) accept() {
+	for {
+		c, err := o.l.Accept()
+		if err != nil {
+			return // closed
+		}
+		o.mu.Lock()
+		o.conns[c] = true
+		o.mu.Unlock()
+		p := &pipe{conn: c}
+		go o.tell(p)
+		go o.serve(p)
+	}
+}
+
+// tellEvery is how often an office tells its free lines.
+const tellEvery = 250 * time.Millisecond
+
+func (o *Office) tell(p *pipe) {
+	for {
+		if p.send(wire.Message{Type: wire.TypeGroup, Params: []wire.Param{wire.Text(wire.ParamLoad, "free:100")}}) != nil {
+			return
+		}
+		time.Sleep(tellEvery)
+	}
+}
+
+func (o *Office) serve(p *pipe) {
+	out := map[uint64]bool{} // set-ups on this connection that are not over
+	defer func() {
+		_ = p.conn.Close()
+		o.mu.Lock()
+		delete(o.conns, p.conn)
+		o.mu.Unlock()
+		for call := range out {
+			o.book.over(call, o.Name, true)
+		}
+	}()
+	for {
+		m, err := p.next()
+		if err != nil {
+			return
+		}
+		switch m.Type {
+		case wire.TypeSetUp:
+			if !o.setUp(p, m.Call, out) {
+				return
+			}
+		case wire.TypeRelease:
+			o.mu.Lock()
+			stood := o.standing[m.Call]
+			delete(o.standing, m.Call)
+			o.mu.Unlock()
+			if !stood && out[m.Call] {
+				o.book.over(m.Call, o.Name, true)
+			}
+			delete(out, m.Call)
+			_ = p.send(wire.Message{Type: wire.TypeHeard, Call: m.Call})
+		}
+	}
+}
+
+// setUp takes a set-up; false: the connection is to end.
+func (o *Office) setUp(p *pipe, call uint64, out map[uint64]bool) bool {
+	now := time.Now()
+	o.book.out(call, o.Name, now)
+	out[call] = true
+	o.mu.Lock()
+	o.taken++
+	late := !o.drained.IsZero() && now.Sub(o.drained) > time.Second
+	o.judgeCold(now)
+	s := o.script
+	wait := max(0, o.free.Sub(now))
+	full := s.Mode == Full || s.Queue > 0 && wait > s.Queue
+	if s.Mode == Answer && !full {
+		o.free = now.Add(wait + s.Work)
+	}
+	o.mu.Unlock()
+	if late {
+		o.book.broken("call %x was sent to %s over 1 s after it was drained", call, o.Name)
+	}
+	switch {
+	case full:
+		delete(out, call)
+		o.book.over(call, o.Name, false)
+		m := wire.ReleaseOf(call, wire.CauseFull)
+		m.Params = append(m.Params, wire.Text(wire.ParamNote, wire.NoteOverload))
+		return p.send(m) == nil
+	case s.Mode == Busy:
+		delete(out, call)
+		o.book.over(call, o.Name, false)
+		return p.send(wire.ReleaseOf(call, wire.CauseBusy)) == nil
+	case s.Mode == Reset:
+		return false
+	case s.Mode == Silent:
+		return true
+	}
+	time.AfterFunc(wait+s.Work, func() {
+		if !o.book.answered(call, o.Name) {
+			return // it was given up
+		}
+		o.mu.Lock()
+		o.standing[call] = true
+		o.mu.Unlock()
+		_ = p.send(wire.Message{Type: wire.TypeAnswer, Call: call, Params: []wire.Param{{Code: wire.ParamDescription, Value: []byte(o.Name)}}})
+	})
+	return true
+}
+
+// judgeCold notes a set-up at a cold office, and whether the last stretch of Fall was too much for it. Its capacity
+// is one set-up each Work.
+func (o *Office) judgeCold(now time.Time) {
+	if o.started.IsZero() || now.Sub(o.started) >= o.bound.Cold || o.script.Work <= 0 {
+		return
+	}
+	o.sets = append(slices.DeleteFunc(o.sets, func(t time.Time) bool { return now.Sub(t) > o.bound.Fall }), now)
+	part := o.bound.Start + (1-o.bound.Start)*now.Sub(o.started).Seconds()/o.bound.Cold.Seconds()
+	most := o.bound.Multiple * part * o.bound.Fall.Seconds() / o.script.Work.Seconds()
+	if float64(len(o.sets)) > most && !o.fallen {
+		o.fallen = true
+		o.book.broken("cold office %s was pushed over: %d set-ups in %s, %.1f are the most", o.Name, len(o.sets), o.bound.Fall, most)
+	}
+}
+
+// pipe is a connection on which messages go both ways.
+type pipe struct {
+	conn net.Conn
+	mu   sync.Mutex
+	buf  []byte
+	part [4096]byte
+}
+
+func (p *pipe) send(m wire.Message) error {
+	b, err := m.Append(nil)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, err = p.conn.Write(b)
+	return err
+}
+
+// next reads one message. Its values are good until the next one.
+func (p *pipe) next() (wire.Message, error) {
+	for {
+		m, n, err := wire.Next(p.buf)
+		if err != nil {
+			return m, err
+		}
+		if n > 0 {
+			p.buf = p.buf[n:]
+			return m, nil
+		}
+		k, err := p.conn.Read(p.part[:])
+		if err != nil {
+			return m, err
+		}
+		p.buf = append(p.buf[:len(p.buf):len(p.buf)], p.part[:k]...)
+	}
+}
