--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"log/slog"
 	"os"
 
 	"github.com/spf13/cobra"
@@ -66,33 +65,16 @@
 		Long: "Checks the file with what \"config check\" uses and refuses to start on findings, with the same messages and\n" +
 			"exit code 1; then serves. SIGHUP reads the file anew, SIGTERM ends when all that was taken is answered.",
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			signals := service.Signals()
-			var own slog.LevelVar
-			follow := &own
-			if level != "" {
-				if err := own.UnmarshalText([]byte(level)); err != nil {
-					return &coded{Unreadable, fmt.Errorf("--log-level %q: debug, info, warn or error", level)}
-				}
-				follow = nil
-			}
-			r := sidecar.NewReader(path, follow)
-			s, err := r.Settings()
+			err := sidecar.Serve(path, format, level, cmd.ErrOrStderr())
 			var found *sidecar.FindingsError
+			var unread *sidecar.UnreadableError
 			switch {
 			case errors.As(err, &found):
-				for _, f := range found.Findings {
-					fmt.Fprintln(cmd.ErrOrStderr(), f)
-				}
+				fmt.Fprintln(cmd.ErrOrStderr(), found)
 				return &coded{Found, nil}
-			case err != nil:
+			case errors.As(err, &unread):
 				return &coded{Unreadable, err}
-			}
-			if format == "" {
-				format = s.LogFormat
-			}
-			log := sidecar.Logger(format, &own)
-			r.Log(log)
-			if err := service.Run(r.Read, signals, log); err != nil {
+			case err != nil:
 				return &coded{Found, err}
 			}
 			return nil
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -163,7 +163,7 @@
 	switch {
 	case s.Named == Alone && raw.name != "":
 		fs.add(file, raw.line, SectionName, title+" has a name", fmt.Sprintf("write [%s]; there is one", s.Kind))
-	case s.Named == ByWord && !word.MatchString(raw.name):
+	case s.Named == ByWord && !word().MatchString(raw.name):
 		fs.add(file, raw.line, SectionName, title+" has no usable name", fmt.Sprintf("write [%s NAME], the name of lower-case letters, digits and hyphens", s.Kind))
 	case s.Named == ByHost && raw.name == "":
 		fs.add(file, raw.line, SectionName, title+" names no host", fmt.Sprintf("write [%s office-1.example.org]", s.Kind))
@@ -269,7 +269,7 @@
 		say(HostDot, "ends with a dot")
 	case slices.ContainsFunc(labels, func(l string) bool { return strings.HasPrefix(l, "xn--") }) || strings.ContainsFunc(name, func(r rune) bool { return r > '~' }):
 		say(HostPunycode, "may look like another name than it is")
-	case len(name) > 253 || slices.ContainsFunc(labels, func(l string) bool { return !label.MatchString(l) }):
+	case len(name) > 253 || slices.ContainsFunc(labels, func(l string) bool { return !label().MatchString(l) }):
 		say(HostForm, "is no host's name")
 	case domain != "" && !strings.HasSuffix(name, "."+domain):
 		say(HostDomain, "is outside the site's domain "+domain)
--- a/internal/config/value.go
+++ b/internal/config/value.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 )
 
 // Type is what a setting's value is.
@@ -83,12 +84,17 @@
 }
 
 var (
-	number  = regexp.MustCompile(`^([+-]?(?:[0-9.]+(?:[eE][+-]?[0-9]+)?|(?i:nan|inf(?:inity)?)))\s*(.*)$`)
-	word    = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
-	label   = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
-	largest = 1e15 // above it a figure in microseconds or bytes is no longer exact
+	// Made when first used: the platform's program holds them, too, and never reads INI.
+	number = sync.OnceValue(func() *regexp.Regexp {
+		return regexp.MustCompile(`^([+-]?(?:[0-9.]+(?:[eE][+-]?[0-9]+)?|(?i:nan|inf(?:inity)?)))\s*(.*)$`)
+	})
+	word  = sync.OnceValue(func() *regexp.Regexp { return regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`) })
+	label = sync.OnceValue(func() *regexp.Regexp { return regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`) })
 )
 
+// largest figure of any setting: above it one in microseconds or bytes is no longer exact.
+const largest = 1e15
+
 func unitNames(t Type) []string {
 	var names []string
 	for _, u := range units[t] {
@@ -149,7 +155,7 @@
 
 // number reads a number with its unit and holds it against the setting's bounds.
 func (s *Setting) number(text string) (float64, error) {
-	m := number.FindStringSubmatch(text)
+	m := number().FindStringSubmatch(text)
 	if m == nil {
 		return 0, &problem{NotNumber, fmt.Sprintf("%s is %s, which is no number", s.Key, quote(text)), "write it like " + s.example()}
 	}
@@ -227,7 +233,7 @@
 }
 
 func checkWord(key, text string) error {
-	if !word.MatchString(text) {
+	if !word().MatchString(text) {
 		return &problem{BadName, fmt.Sprintf("%s is %s, which is no name", key, quote(text)),
 			"use lower-case letters, digits and hyphens, a letter first, 63 at most"}
 	}
@@ -236,7 +242,7 @@
 
 func checkDomain(key, text string) error {
 	labels := strings.Split(text, ".")
-	if len(text) > 253 || len(labels) < 2 || slices.ContainsFunc(labels, func(l string) bool { return !label.MatchString(l) }) {
+	if len(text) > 253 || len(labels) < 2 || slices.ContainsFunc(labels, func(l string) bool { return !label().MatchString(l) }) {
 		return &problem{BadName, fmt.Sprintf("%s is %s, which is no domain", key, quote(text)), "write one in lower case, like example.org"}
 	}
 	return nil
@@ -260,7 +266,7 @@
 	}
 	ip, err := netip.ParseAddr(strings.Trim(host, "[]"))
 	if err != nil {
-		if word.MatchString(strings.ReplaceAll(host, ".", "-")) {
+		if word().MatchString(strings.ReplaceAll(host, ".", "-")) {
 			return netip.AddrPort{}, &problem{NameForAddr, fmt.Sprintf("%s names %s, and names are not looked up", key, quote(host)), "write the IPv4 address"}
 		}
 		return netip.AddrPort{}, &problem{BadAddress, fmt.Sprintf("%s is %s, which is no address", key, quote(text)), "write it like 127.0.0.1:20001"}
--- a/internal/service/config.go
+++ b/internal/service/config.go
@@ -54,7 +54,8 @@
 	return c, nil
 }
 
-func (c Config) session() (session.Config, error) {
+// Session is the part of the configuration that the session is made from.
+func (c Config) Session() (session.Config, error) {
 	seed, err := strconv.ParseUint(c.Seed, 16, 64)
 	if err != nil {
 		return session.Config{}, fmt.Errorf("configuration: seed: %w", err)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -37,7 +37,7 @@
 	now := clock()
 	q := newQueue(cfg.Limits.MemoryMB)
 	network := newNetwork(cfg, q, now)
-	sc, err := cfg.session()
+	sc, err := cfg.Session()
 	if err != nil {
 		return err
 	}
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -230,7 +230,7 @@
 	if _, err := ReadConfig(filepath.Join(t.TempDir(), "none.json")); err == nil {
 		t.Error("a file that is not there was read")
 	}
-	if _, err := (Config{Seed: "not hex"}).session(); err == nil {
+	if _, err := (Config{Seed: "not hex"}).Session(); err == nil {
 		t.Error("a seed that is no number was taken")
 	}
 }
--- a/internal/session/journal.go
+++ b/internal/session/journal.go
@@ -140,7 +140,7 @@
 	}
 	for _, o := range c.Offices {
 		// A connection before the first set-up: releases of calls of before our start come on it.
-		if known := s.offices.Get(o.ID); known.State != decide.Removed {
+		if known := s.offices.Get(o.ID); known.State != decide.Removed && len(s.offices.All()) <= maxEager {
 			s.connect(known)
 		}
 	}
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -109,6 +109,9 @@
 	// it only after up to 7 s.
 	lostFor   = 2_500_000
 	silentFor = 4_500_000
+	// maxEager offices have a connection each from when they are first named; of longer lists each has it from its first
+	// set-up. Guards against thousands of connects at once, most of which nobody will need.
+	maxEager = 512
 	// remember is how long ids of calls that are over are known, to tell a crossing release from that of a
 	// call of before our start.
 	remember = 20_000_000
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -6,10 +6,12 @@
 	"crypto/rand"
 	"encoding/hex"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"slices"
 	"strings"
+	"syscall"
 
 	"pewterwheel/decide"
 	"pewterwheel/internal/config"
@@ -49,14 +51,11 @@
 	return &Reader{path: path, read: os.ReadFile, level: level, log: slog.New(slog.DiscardHandler)}
 }
 
-// Log sets where a reload says what changes.
-func (r *Reader) Log(log *slog.Logger) { r.log = log }
-
 // load reads and checks the file.
 func (r *Reader) load() (*config.Document, config.Sidecar, error) {
 	text, err := r.read(r.path)
 	if err != nil {
-		return nil, config.Sidecar{}, fmt.Errorf("could not read the configuration: %w", err)
+		return nil, config.Sidecar{}, &UnreadableError{fmt.Errorf("could not read the configuration: %w", err)}
 	}
 	result := config.Check([]config.File{{Name: r.path, Text: text}})
 	if result.Findings.Errors() > 0 {
@@ -191,11 +190,53 @@
 	return c
 }
 
-// Logger makes the logger that settings ask for.
-func Logger(format string, level slog.Leveler) *slog.Logger {
-	options := &slog.HandlerOptions{Level: level}
+// UnreadableError is a file that could not be read, or a word of the command that is off.
+type UnreadableError struct{ Err error }
+
+func (e *UnreadableError) Error() string { return e.Err.Error() }
+func (e *UnreadableError) Unwrap() error { return e.Err }
+
+// Serve checks a file and serves by it until SIGTERM. Format and level take the place of what the file says, unless they
+// are empty. What is logged goes to out.
+func Serve(path, format, level string, out io.Writer) error {
+	signals := service.Signals()
+	var own slog.LevelVar
+	follow := &own
+	if level != "" {
+		if err := own.UnmarshalText([]byte(level)); err != nil {
+			return &UnreadableError{fmt.Errorf("log level %q: debug, info, warn or error", level)}
+		}
+		follow = nil
+	}
+	r := NewReader(path, follow)
+	s, err := r.Settings()
+	if err != nil {
+		return err
+	}
+	if err := enough(s.Machine.Descriptors); err != nil {
+		return err
+	}
+	if format == "" {
+		format = s.LogFormat
+	}
+	options := &slog.HandlerOptions{Level: &own}
+	log := slog.New(slog.NewTextHandler(out, options))
 	if format == "json" {
-		return slog.New(slog.NewJSONHandler(os.Stderr, options))
+		log = slog.New(slog.NewJSONHandler(out, options))
+	}
+	r.log = log
+	return service.Run(r.Read, signals, log)
+}
+
+// enough tells whether this process may open as many descriptors as the file counts on. Guards against a sidecar that
+// serves well until the afternoon on which it needs them.
+func enough(descriptors int) error {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return fmt.Errorf("descriptors: %w", err)
+	}
+	if limit.Cur < uint64(descriptors) { // the runtime has raised it to what it may be raised to
+		return fmt.Errorf("the file counts on %d descriptors, and this process may open %d; raise its limit, or lower descriptors of [machine]", descriptors, limit.Cur)
 	}
-	return slog.New(slog.NewTextHandler(os.Stderr, options))
+	return nil
 }
