--- a/internal/membership/file.go
+++ b/internal/membership/file.go
@@ -38,8 +38,14 @@
 	linger  int64
 	number  uint64
 	first   []Member
+	rest    []Member // new offices that are still to be told
+	since   int64    // when they were read
 }
 
+// batch is how many offices are added or removed at a time. Guards against a reload of a long list holding up the calls
+// that pass: what must not wait, that an office is drained, is told at once, and the rest by and by.
+const batch = 500
+
 // NewFile returns a list of the members that a file names. Microseconds of linger are how long calls may go on standing
 // at an office that has left the file.
 func NewFile(members []Member, linger int64) *File {
@@ -49,7 +55,7 @@
 // Start gives the whole list. Nothing is known of the offices' age: they are taken to have been there for long, as
 // most have, and the module starts each of them under control.
 func (f *File) Start(_ int64, take func(wire.Change)) error {
-	f.change(0, f.first, take)
+	f.change(0, f.first, len(f.first), take)
 	f.first = nil
 	return nil
 }
@@ -72,22 +78,27 @@
 // Reload turns a file read anew into the smallest change: nothing is said of what stays as it is.
 func (f *File) Reload(now int64, u Update, take func(wire.Change)) error {
 	f.linger = u.Linger
-	f.change(now, u.Members, take)
+	f.change(now, u.Members, batch, take)
 	return nil
 }
 
-// change tells what a list of members changes; those that are new started at the given time.
-func (f *File) change(started int64, members []Member, take func(wire.Change)) {
+// change tells what a list of members changes; those that are new started at the given time, and so many of them are
+// told now.
+func (f *File) change(started int64, members []Member, now int, take func(wire.Change)) {
 	var c wire.Change
+	f.rest, f.since = nil, started
 	named := make(map[decide.ServerID]bool, len(members))
 	for _, m := range members {
 		id := m.ID()
 		named[id] = true
 		e := f.entries[id]
+		if e == nil && now == 0 {
+			f.rest = append(f.rest, m)
+			continue
+		}
 		if e == nil {
-			e = &entry{started: started}
-			f.entries[id] = e
-			f.order = append(f.order, id)
+			e = f.add(id)
+			now--
 		}
 		// One that comes back while calls still stand there is the same process, as warm as before.
 		e.Member, e.left = m, 0
@@ -102,16 +113,33 @@
 	f.tell(c, take)
 }
 
-// Tick removes the offices that have left the file and at which nothing stands any more, or has for too long.
+func (f *File) add(id decide.ServerID) *entry {
+	e := &entry{started: f.since}
+	f.entries[id] = e
+	f.order = append(f.order, id)
+	return e
+}
+
+// Tick adds new offices that are still to be told, and removes those that have left the file and at which nothing stands
+// any more, or has for too long.
 func (f *File) Tick(now int64, stands func(decide.ServerID) int, take func(wire.Change)) {
 	var c wire.Change
+	n := min(batch, len(f.rest))
+	for _, m := range f.rest[:n] {
+		e := f.add(m.ID())
+		e.Member = m
+		e.tell(&c, stateOf(m))
+	}
+	f.rest = f.rest[n:]
+	removed := 0
 	f.order = slices.DeleteFunc(f.order, func(id decide.ServerID) bool {
 		e := f.entries[id]
-		if e.left == 0 || now-e.left < f.linger && stands(id) > 0 {
+		if e.left == 0 || removed == batch || now-e.left < f.linger && stands(id) > 0 {
 			return false
 		}
 		delete(f.entries, id)
 		e.tell(&c, decide.Removed)
+		removed++
 		return true
 	})
 	f.tell(c, take)
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -62,6 +62,51 @@
 	}
 }
 
+// A long list comes by and by, but for what is drained: that comes at once.
+func TestLongListInBatches(t *testing.T) {
+	list := func(from int) (ms []Member) {
+		for i := range 4 * batch {
+			ms = append(ms, member("h", uint16(from+i+1)))
+		}
+		return ms
+	}
+	f := NewFile(list(0), 0)
+	up, worst := map[decide.ServerID]bool{}, 0
+	take := func(c wire.Change) {
+		added := 0
+		for _, o := range c.Offices {
+			if up[o.ID] = o.State == decide.Up; up[o.ID] {
+				added++
+			} else if o.State == decide.Removed {
+				delete(up, o.ID)
+			}
+		}
+		worst = max(worst, added)
+	}
+	count := func() (n int) {
+		for _, is := range up {
+			if is {
+				n++
+			}
+		}
+		return n
+	}
+	_ = f.Start(1, take)
+	if worst = 0; len(up) != 4*batch {
+		t.Fatalf("%d at the start", len(up))
+	}
+	_ = f.Reload(2, Update{Members: list(2 * batch)}, take)
+	if n := count(); n != 3*batch {
+		t.Errorf("%d are up after the reload; half are drained at once, and a batch is new", n)
+	}
+	for range 8 {
+		f.Tick(3, func(decide.ServerID) int { return 0 }, take)
+	}
+	if n := count(); n != 4*batch || len(up) != n || worst > batch {
+		t.Errorf("%d are up of %d known in the end, %d added at a time", n, len(up), worst)
+	}
+}
+
 // Whatever files follow each other, an observer of the changes has the list of the last file, each host that is on it
 // with the state that the file gives, and each that left it is draining or gone; numbers grow by one.
 func TestFileFollowsFiles(t *testing.T) {
--- a/internal/route/host.go
+++ b/internal/route/host.go
@@ -16,6 +16,7 @@
 	place  int
 	state  decide.State // as the list has it
 	open   int
+	gated  bool    // among those that are shown only while they have room
 	hidden bool    // shown to the module as not up
 	tokens float64 // sends in hand, while it is cold
 	filled int64
@@ -35,10 +36,12 @@
 			r.order = append(r.order, h)
 		}
 		if h.Listed, h.place, h.state = l, l.Place, l.State; fresh {
-			h.tokens, h.filled, h.hidden = r.rng.Float64(), r.now, false
+			h.tokens, h.filled = r.rng.Float64(), r.now
 		}
+		h.hidden = false
 		if l.State == decide.Up && r.isCold(h) {
-			if !slices.Contains(r.cold, h) {
+			if !h.gated {
+				h.gated = true
 				r.cold = append(r.cold, h)
 			}
 			if h.tokens < 1 {
@@ -74,19 +77,18 @@
 // the site's sidecars, of what all may send without pushing the host over. Guards against a new host being filled by
 // everybody's first set-ups: sidecars learn nothing from each other, so each keeps to its part.
 func (r *Router) gates() {
+	var news []decide.Listed // told at once: each telling costs the module a look at its whole list
 	r.cold = slices.DeleteFunc(r.cold, func(h *host) bool {
-		if h.state != decide.Up {
-			h.hidden = false
-			return true
+		h.gated = h.state == decide.Up && r.isCold(h)
+		if h.gated {
+			r.fill(h)
 		}
-		if !r.isCold(h) {
-			r.show(h, true)
-			return true
+		if h.state == decide.Up {
+			news = r.turn(news, h, !h.gated || h.tokens >= 1)
 		}
-		r.fill(h)
-		r.show(h, h.tokens >= 1)
-		return false
+		return !h.gated
 	})
+	r.show(news)
 }
 
 // fill gives a cold host the sends that its rate has brought since.
@@ -106,14 +108,22 @@
 	return coldPart * rules.FallMultiple * part * r.cfg.Pools[h.place].Whole * h.Share / max(h.Share, r.pools[h.place].size) / float64(r.cfg.Sidecars)
 }
 
-func (r *Router) show(h *host, up bool) {
+// turn opens or shuts a host for the module; a change goes behind the news.
+func (r *Router) turn(news []decide.Listed, h *host, up bool) []decide.Listed {
 	if h.hidden == !up {
-		return
+		return news
 	}
 	l := h.Listed
 	if h.hidden = !up; h.hidden {
 		l.State = decide.Draining
 		r.Counts.Shut++
 	}
-	r.forward(decide.Event{Kind: decide.List, Form: decide.Delta, Servers: []decide.Listed{l}})
+	return append(news, l)
+}
+
+// show tells the module of hosts that were opened or shut.
+func (r *Router) show(news []decide.Listed) {
+	if len(news) > 0 {
+		r.forward(decide.Event{Kind: decide.List, Form: decide.Delta, Servers: news})
+	}
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -353,7 +353,7 @@
 		if r.isCold(h) {
 			r.fill(h)
 			h.tokens--
-			r.show(h, h.tokens >= 1)
+			r.show(r.turn(nil, h, h.tokens >= 1))
 		}
 	}
 }
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -18,7 +18,9 @@
 		name  string
 		tally tally
 		share float64
+		moved int
 	}
+	var r *Router
 	play := func(name string, make func(decide.Settings) Inner) (ps []phase) {
 		set := settings(decide.Free)
 		var hosts []*worldHost
@@ -28,9 +30,10 @@
 		w := newWorld(t, make(set), set, 5, hosts...)
 		part := func(name string, long int64) {
 			w.tally = tally{}
+			moved := r.Counts.Moved
 			w.offer(0, 100, long)
 			w.run(w.now + long)
-			ps = append(ps, phase{name, w.tally, float64(w.tally.first) / float64(w.tally.attempts)})
+			ps = append(ps, phase{name, w.tally, float64(w.tally.first) / float64(w.tally.attempts), int(r.Counts.Moved - moved)})
 		}
 		part("start", 20*sec)
 		part("calm", 30*sec)
@@ -47,13 +50,12 @@
 		w.run(w.now + 20*sec)
 		w.settled()
 		for _, p := range ps {
-			t.Logf("%-14s %-12s offered %4d on time %.3f late %.3f refused %.3f failed %.3f, at the first pool %.2f, repeats %d", name, p.name, p.tally.offered,
+			t.Logf("%-14s %-12s offered %4d on time %.3f late %.3f refused %.3f failed %.3f, at the first pool %.2f, repeats %d, moved %d", name, p.name, p.tally.offered,
 				float64(p.tally.onTime)/float64(p.tally.offered), float64(p.tally.late)/float64(p.tally.offered),
-				float64(p.tally.refused)/float64(p.tally.offered), float64(p.tally.failed)/float64(p.tally.offered), p.share, p.tally.repeats)
+				float64(p.tally.refused)/float64(p.tally.offered), float64(p.tally.failed)/float64(p.tally.offered), p.share, p.tally.repeats, p.moved)
 		}
 		return ps
 	}
-	var r *Router
 	with := play("routed", func(set decide.Settings) Inner { r = routed(t, config(set), set, 1); return r })
 	play("module alone", func(set decide.Settings) Inner { n, _ := decide.New(set, 1); return n })
 	play("first alone", func(set decide.Settings) Inner {
@@ -68,6 +70,9 @@
 	if slow := with[3]; slow.share > 0.6 || slow.share < 0.1 || float64(slow.tally.onTime) < 0.8*float64(slow.tally.offered) {
 		t.Errorf("slow: %.2f at the first pool, %d of %d on time", slow.share, slow.tally.onTime, slow.tally.offered)
 	}
+	if slow := with[3]; slow.moved > slow.tally.offered/20 {
+		t.Errorf("slow: %d of %d calls had to wait at the first pool before they moved on", slow.moved, slow.tally.offered)
+	}
 	if later := with[5]; later.share < 0.9 {
 		t.Errorf("later: %.2f at the first pool", later.share)
 	}
@@ -77,6 +82,7 @@
 func TestRulesHold(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		set := settings(decide.Free, decide.Guarded, decide.SingleShot)
+		set.Classes[1].Scope = decide.ScopeCell
 		cfg := config(set)
 		for i := range cfg.Pools {
 			cfg.Pools[i].Rate = rapid.Float64Range(1, 100).Draw(rt, "rate")
@@ -176,11 +182,16 @@
 	if n := refusedOf(0); n > 2 {
 		t.Errorf("%d calls of the class within its share were refused", n)
 	}
+	told := map[int64]bool{}
 	for _, wait := range w.tally.waits {
+		told[wait/1000] = true
 		if wait <= 0 || wait > set.MaxRetryAfter {
 			t.Fatalf("a refused caller was told to stay away for %d us", wait)
 		}
 	}
+	if len(told) < 50 {
+		t.Errorf("%d refused callers were told %d different times to come back", len(w.tally.waits), len(told))
+	}
 }
 
 // An idle class's reserve of open set-ups fades, is lent, and comes back as it asks for it.
@@ -211,6 +222,18 @@
 	if n := have(0); n < 10 {
 		t.Errorf("the owner got %d of 10 that came free", n)
 	}
+	for range 5 { // the owner has five left, and had more of late: those are kept for it
+		p.leave(0)
+	}
+	for p.classes[1].open > 0 {
+		p.leave(1)
+	}
+	if n := have(1); n > 27 || n < 20 {
+		t.Errorf("a class got %d of 40 while another one has 5 and had 10 of late", n)
+	}
+	if n := have(0); n < 5 {
+		t.Errorf("the owner got back %d", n)
+	}
 	if p.open > lent+3 || p.open > 40 {
 		t.Errorf("%d are open at a limit of 40", p.open)
 	}
@@ -295,6 +318,73 @@
 	}
 }
 
+// script is an inner module that does what it is told to, and notes what it was told.
+type script struct {
+	events  []decide.Event
+	next    []decide.Action
+	avoided map[decide.ServerID]bool
+}
+
+func (s *script) Step(_ int64, e decide.Event, out []decide.Action) []decide.Action {
+	s.events = append(s.events, e)
+	out = append(out, s.next...)
+	s.next = nil
+	return out
+}
+
+func (s *script) Avoids(id decide.ServerID) bool { return s.avoided[id] }
+
+// A call whose only host has become unusable moves to the next pool with its attempts counted on: what the module calls
+// its first attempt there is its second one, and a repeat that is paid for and not made is paid back.
+func TestMoveKeepsCount(t *testing.T) {
+	set := settings(decide.Free)
+	in := &script{avoided: map[decide.ServerID]bool{}}
+	r, err := New(config(set), set, in, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Step(1, decide.Event{Kind: decide.Start}, nil)
+	r.Step(1, decide.Event{Kind: decide.List, Form: decide.Delta, Servers: []decide.Listed{{ID: "a", Share: 1}, {ID: "b", Place: 1, Share: 1}}}, nil)
+	in.next = []decide.Action{{Kind: decide.Send, Call: 7, Server: "a"}}
+	r.Step(2, decide.Event{Kind: decide.Order, Call: 7, Deadline: 6 * sec}, nil)
+	budget := r.budget
+	r.Step(3, decide.Event{Kind: decide.Ended, Call: 7, Server: "a", Outcome: decide.Cut}, nil)
+	if r.budget >= budget {
+		t.Error("a repeat was not paid for")
+	}
+	in.avoided["a"] = true
+	in.events = nil
+	r.Step(100_000, decide.Event{Kind: decide.Checked}, nil)
+	if len(in.events) != 1 {
+		t.Errorf("within the guard the module was told %+v", in.events)
+	}
+	r.Step(300_000, decide.Event{Kind: decide.Checked}, nil)
+	var kinds []decide.EventKind
+	for _, e := range in.events {
+		kinds = append(kinds, e.Kind)
+	}
+	if n := len(in.events); n != 4 || in.events[2].Kind != decide.Gone || in.events[3].Kind != decide.Order || in.events[3].Class != 1 {
+		t.Fatalf("after the guard the module was told %v, %+v", kinds, in.events)
+	}
+	in.next = []decide.Action{{Kind: decide.Send, Call: 7, Server: "b"}}
+	r.Step(300_001, decide.Event{Kind: decide.Checked}, nil)
+	in.next = []decide.Action{{Kind: decide.Cancel, Call: 7, Attempt: 0}}
+	acts := r.Step(300_002, decide.Event{Kind: decide.Checked}, nil)
+	if len(acts) != 1 || acts[0].Kind != decide.Cancel || acts[0].Attempt != 1 {
+		t.Errorf("the attempt that is called off is %+v", acts)
+	}
+	r.Step(300_003, decide.Event{Kind: decide.Ended, Call: 7, Server: "b", Attempt: 1, Outcome: decide.Cancelled}, nil)
+	if e := in.events[len(in.events)-1]; e.Attempt != 0 {
+		t.Errorf("the module was told of attempt %d, its first at the pool", e.Attempt)
+	}
+	budget = r.budget
+	in.next = []decide.Action{{Kind: decide.Refuse, Call: 7}}
+	acts = r.Step(300_004, decide.Event{Kind: decide.Checked}, nil)
+	if len(acts) != 1 || acts[0].Kind != decide.Fail || r.budget != budget+1 {
+		t.Errorf("given up with %+v, budget %v after %v", acts, r.budget, budget)
+	}
+}
+
 func TestBadConfigurations(t *testing.T) {
 	set := settings(decide.Free)
 	for _, break_ := range []func(*Config){func(c *Config) { c.Pools = nil }, func(c *Config) { c.Classes = nil },
--- a/internal/route/world_test.go
+++ b/internal/route/world_test.go
@@ -23,13 +23,12 @@
 	calls map[decide.CallID]*worldCall
 	hosts map[decide.ServerID]*worldHost
 	tally tally
-	tries bool // repeats are counted
 }
 
 type tally struct {
-	offered, onTime, late, refused, failed, gone int
-	attempts, repeats, first                     int // first: attempts at the pool of first choice
-	waits                                        []int64
+	offered, onTime, late, refused, failed int
+	attempts, repeats, first               int // first: attempts at the pool of first choice
+	waits                                  []int64
 }
 
 type worldCall struct {
@@ -39,6 +38,8 @@
 	out      decide.ServerID
 	attempts int
 	guard    int64
+	ran      bool // an attempt may have run
+	ranAt    int  // at this pool
 	answered bool
 	ended    int // final answers
 }
@@ -153,6 +154,10 @@
 		w.t.Fatalf("call %d is sent after its final answer", a.Call)
 	case w.now < c.guard:
 		w.t.Fatalf("call %d is sent %d us before its guard is over", a.Call, c.guard-w.now)
+	case c.ran && w.set.Classes[c.class].Effect == decide.SingleShot:
+		w.t.Fatalf("call %d may have run, and is sent again", a.Call)
+	case c.ran && w.set.Classes[c.class].Scope == decide.ScopeCell && h.Place != c.ranAt:
+		w.t.Fatalf("call %d may have run at pool %d, which alone drops repeats, and is sent to %d", a.Call, c.ranAt, h.Place)
 	case h.State != decide.Up:
 		w.t.Fatalf("call %d is sent to %s, which is not up", a.Call, a.Server)
 	case w.set.MaxTries > 0 && c.attempts >= w.set.MaxTries:
@@ -215,6 +220,9 @@
 func (w *world) end(id decide.CallID, s decide.ServerID, n int, o decide.Outcome, full bool) {
 	c := w.calls[id]
 	c.out = ""
+	if !c.ran && o != decide.Rejected && o != decide.Unreached && o != decide.Unsent {
+		c.ran, c.ranAt = true, w.hosts[s].Place
+	}
 	if o == decide.TimedOut || o == decide.Cancelled || o == decide.Cut {
 		c.guard = w.now + w.set.Rules.Guard
 	}
