--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -313,6 +313,61 @@
 	}
 }
 
+// Offices that are slow, full, at fault, cut their connections or say nothing, changing all the time, under load: every
+// call has one final answer before its caller gives up, no two attempts are out, none comes within the guard.
+func TestTroubledOffices(t *testing.T) {
+	book := standin.NewBook()
+	rng := rand.New(rand.NewPCG(11, 7))
+	var offices []*standin.Office
+	var b strings.Builder
+	b.WriteString("[site]\nname = s\ndomain = example.org\nsidecars = 1\n[pool core]\nrate = 1000/s\nopen = 500\n[pool reserve]\nrate = 400/s\nopen = 200\n")
+	for i := range 6 {
+		o, err := standin.NewOffice(fmt.Sprintf("h%d.example.org", i), "127.0.0.1:0", book, standin.Script{Work: time.Millisecond})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(o.Close)
+		offices = append(offices, o)
+		fmt.Fprintf(&b, "[host %s]\naddress = %s\npool = %s\n", o.Name, o.Address, []string{"core", "reserve"}[i/4])
+	}
+	out, found := config.Write(config.File{Name: "site.ini", Text: []byte(b.String())}, []config.File{{Name: "a.ini", Text: fmt.Appendf(nil,
+		"[application]\nname = a\nlistener = 127.0.0.1:%d\ncontrol = 127.0.0.1:%d\nshare = 100%%\ntries = 4\n"+
+			"[class sale-auth]\naim = 500ms\ndeadline = 2s\neffect = free\npools = core, reserve\nrate = 80/s\n"+
+			"[class refund]\naim = 500ms\ndeadline = 2s\neffect = single-shot\npools = reserve, core\nrate = 20/s\n", freePort(t), freePort(t))}})
+	if found.Errors() > 0 {
+		t.Fatal(found)
+	}
+	s := start(t, t.TempDir(), out[0])
+	stop := make(chan struct{})
+	var callers []*standin.Caller
+	for class, rate := range map[string]float64{"sale-auth": 80, "refund": 20} {
+		c, err := standin.Dial(s.Application.Listener.String(), book, 300*time.Millisecond)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		callers = append(callers, c)
+		go c.Offer(class, 2*time.Second, rate, 1<<20, stop)
+	}
+	scripts := []standin.Script{{Work: time.Millisecond}, {Work: 200 * time.Millisecond, Queue: time.Second}, {Mode: standin.Full},
+		{Mode: standin.Busy}, {Mode: standin.Reset}, {Mode: standin.Silent}, {Work: time.Millisecond}}
+	for range 40 {
+		offices[rng.IntN(len(offices))].Script(scripts[rng.IntN(len(scripts))])
+		time.Sleep(100 * time.Millisecond)
+	}
+	close(stop)
+	for _, c := range callers {
+		c.Wait(patience)
+	}
+	sums := book.Sums()
+	s.stop(t)
+	sound(t, book)
+	t.Logf("%+v", sums)
+	if sums.Answered == 0 || sums.Refused+sums.Failed == 0 || sums.Attempts <= sums.Answered {
+		t.Errorf("%+v: there was no trouble, or nothing else", sums)
+	}
+}
+
 // A sidecar does not start from a file with findings, or from one of another kind.
 func TestRefusals(t *testing.T) {
 	dir := t.TempDir()
