--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The commands that CI and people share. `make run` needs BALANCER_CONFIG, as the platform sets it.
-.PHONY: all build test lint run demo
+.PHONY: all build test lint run demo pathcost
 
 all: lint build test
 
@@ -20,3 +20,7 @@
 # Two sidecars beside stand-in offices on this machine; fails if a rule is broken.
 demo: build
 	bin/pewterwheel demo
+
+# What a call costs, by count, in each case; fails if it is over internal/pathcost/figures.tsv.
+pathcost:
+	go test ./internal/pathcost -count=1 -v -latency 5s
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -155,6 +155,7 @@
 	calls   map[CallID]*call
 	byToken map[uint64]*call
 	held    []*call
+	drawn   []*server        // room for what pick draws from
 	shares  []share          // each tenant's, in the order of the settings
 	turned  map[number]int64 // first tries of callers who got no set-up and may redial
 	tokens  uint64
@@ -774,7 +775,7 @@
 
 // pick chooses the destination while it has room, then by a weighted draw over the others that have.
 func (n *Node) pick(c *call) *server {
-	var draw []*server
+	draw := n.drawn[:0]
 	var lull int64
 	if n.late(c) {
 		lull = n.lull
@@ -795,6 +796,7 @@
 			draw = append(draw, s)
 		}
 	}
+	n.drawn = draw
 	if len(draw) == 0 && c.last != nil && n.roomFor(c.last, lull) && n.allowed(c, c.last) {
 		return c.last
 	}
--- a/internal/route/pool.go
+++ b/internal/route/pool.go
@@ -31,6 +31,8 @@
 	restPeriods = 2
 	// queueAhead calls at most may be held at the pool to which a held call moves.
 	queueAhead = 2
+	// maxSpare calls at most are kept to be used again.
+	maxSpare = 1024
 )
 
 // pool is what the router knows of a pool.
@@ -226,9 +228,13 @@
 	r.count()
 	r.held = slices.DeleteFunc(r.held, func(c *call) bool {
 		c.listed = !c.over && !c.out
+		if c.over && r.calls[c.id] != c && len(r.spare) < maxSpare {
+			r.spare = append(r.spare, c) // it was forgotten, and this list was the last to hold it
+		}
 		return !c.listed
 	})
-	for _, c := range slices.Clone(r.held) {
+	r.looking = append(r.looking[:0], r.held...)
+	for _, c := range r.looking {
 		if !c.over && !c.out {
 			r.consider(c)
 		}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -89,20 +89,22 @@
 
 // Router decides for one sidecar. It is not safe for concurrent use.
 type Router struct {
-	cfg   Config
-	set   decide.Settings // as they are without the router
-	inner Inner
-	rng   *rand.Rand
-	now   int64
-	out   []decide.Action
-	bufs  [][]decide.Action // by depth of calls into the module
-	depth int
-	calls map[decide.CallID]*call
-	held  []*call // calls without an attempt out, and some that are over
-	pools []pool
-	hosts map[decide.ServerID]*host
-	order []*host // in order of first listing
-	cold  []*host // those that the module is shown as up only while they have room
+	cfg     Config
+	set     decide.Settings // as they are without the router
+	inner   Inner
+	rng     *rand.Rand
+	now     int64
+	out     []decide.Action
+	bufs    [][]decide.Action // by depth of calls into the module
+	depth   int
+	calls   map[decide.CallID]*call
+	held    []*call // calls without an attempt out, and some that are over
+	looking []*call // held, while it is looked at
+	spare   []*call // calls that nobody holds any more
+	pools   []pool
+	hosts   map[decide.ServerID]*host
+	order   []*host // in order of first listing
+	cold    []*host // those that the module is shown as up only while they have room
 
 	budget  float64 // repeated attempts in hand
 	filled  int64   // when budget was last filled
@@ -278,13 +280,17 @@
 		return
 	}
 	e.Dest, e.Transit = -1, false // places are pools here, and the router chooses
-	c := &call{id: e.Call, order: e, class: e.Class, entered: r.now}
-	pool, ok := r.choose(c.class)
+	pool, ok := r.choose(e.Class)
 	if !ok {
 		r.Counts.Limited++
-		r.out = append(r.out, decide.Action{Kind: decide.Refuse, Call: e.Call, Wait: r.comeBack(c.class)})
+		r.out = append(r.out, decide.Action{Kind: decide.Refuse, Call: e.Call, Wait: r.comeBack(e.Class)})
 		return
 	}
+	c := &call{}
+	if n := len(r.spare); n > 0 {
+		c, r.spare = r.spare[n-1], r.spare[:n-1]
+	}
+	*c = call{id: e.Call, order: e, class: e.Class, entered: r.now}
 	if pool != r.cfg.Classes[c.class].Pools[0] {
 		r.Counts.Spilled++
 	}
--- a/internal/service/network.go
+++ b/internal/service/network.go
@@ -59,7 +59,7 @@
 	// The engine tries again at once. Guards against a full core while descriptors are short.
 	n.engine.OnAcceptError(func(error) { time.Sleep(acceptPause) })
 	n.engine.OnData(func(c *nbio.Conn, data []byte) {
-		q.put(session.Arrival{Kind: session.Data, At: now(), Conn: c, Data: append([]byte(nil), data...)})
+		q.put(session.Arrival{Kind: session.Data, At: now(), Conn: c, Data: data})
 	})
 	n.engine.OnClose(func(c *nbio.Conn, err error) {
 		q.put(session.Arrival{Kind: session.Closed, At: now(), Conn: c, Err: err})
--- a/internal/service/queue.go
+++ b/internal/service/queue.go
@@ -30,8 +30,14 @@
 	accepted map[session.ArrivalKind]int
 	waiting  map[state.Conn]int // bytes of each connection; over perConn: given up
 	wake     chan struct{}
+	// What came is copied behind each other into one slab, and is good until the next take; by turns with the one that
+	// the loop is reading.
+	slab, reading []byte
 }
 
+// maxSlab bounds what a slab keeps room for when it is used again.
+const maxSlab = 256 << 10
+
 func newQueue(memoryMB int64) *queue {
 	q := &queue{wake: make(chan struct{}, 1), waiting: map[state.Conn]int{}, accepted: map[session.ArrivalKind]int{},
 		most: max(leastQueue, int(queuePart*float64(memoryMB<<20)))}
@@ -39,7 +45,7 @@
 	return q
 }
 
-// put adds an arrival and waits while the queue is full.
+// put adds an arrival and waits while the queue is full. What it holds is copied.
 func (q *queue) put(a session.Arrival) {
 	q.mu.Lock()
 	switch a.Kind {
@@ -58,6 +64,11 @@
 			a.Kind, a.Data = session.Flooded, nil
 		}
 		q.bytes += size
+		if a.Data != nil {
+			from := len(q.slab)
+			q.slab = append(q.slab, a.Data...)
+			a.Data = q.slab[from:len(q.slab):len(q.slab)]
+		}
 	case session.Accepted, session.Asked: // each alone: callers by hundreds do not keep anyone off the second address
 		for q.accepted[a.Kind] >= maxAccepted {
 			q.room.Wait()
@@ -72,13 +83,17 @@
 	}
 }
 
-// take returns all that waits; buf is reused for what comes next.
+// take returns all that waits, whose data is good until the next take; buf is reused for what comes next.
 func (q *queue) take(buf []session.Arrival) []session.Arrival {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	items := q.items
 	clear(buf)
 	q.items, q.bytes = buf[:0], 0
+	if cap(q.reading) > maxSlab {
+		q.reading = nil
+	}
+	q.slab, q.reading = q.reading[:0], q.slab
 	clear(q.accepted)
 	clear(q.waiting)
 	q.room.Broadcast()
--- a/internal/session/callers.go
+++ b/internal/session/callers.go
@@ -27,6 +27,9 @@
 // Guards against telling them to the front, whose connections bring a test alone: to it that is no passed test.
 func (s *Session) asks(c *state.Caller) {
 	c.Asked = s.now
+	if len(s.unsent) == 0 {
+		return
+	}
 	for id, e := range inOrder(s.unsent) {
 		if !e.Sent {
 			s.tellEnd(id, e.Cause, nil)
@@ -72,7 +75,7 @@
 // Guards against clients that say nothing, send half a message, or withdraw all that they ask: each holds a
 // descriptor. A caller with no open set-up loses nothing by it.
 func (s *Session) watchCallers() {
-	for _, c := range slices.Clone(s.callers) {
+	for _, c := range s.everyCaller() {
 		switch {
 		case len(c.In) > 0 && s.now-c.Part >= callerWithin:
 			s.turnOut(c, errPartial)
@@ -82,6 +85,13 @@
 	}
 }
 
+// everyCaller is the callers as they are now; whoever leaves meanwhile is still in it. It is good until the next call.
+func (s *Session) everyCaller() []*state.Caller {
+	clear(s.scratch)
+	s.scratch = append(s.scratch[:0], s.callers...)
+	return s.scratch
+}
+
 // turnOut ends a connection on which nothing more can be made of what comes. Its open set-ups have their one
 // final answer first: none of them may stand for a client that breaks the protocol.
 func (s *Session) turnOut(c *state.Caller, err error) {
@@ -131,8 +141,10 @@
 		if s.stop != 0 || s.drain != 0 {
 			passed = 0
 		}
-		s.toCaller(from, wire.Message{Type: wire.TypeTested, Call: m.Call,
-			Params: []wire.Param{{Code: wire.ParamCause, Value: []byte{passed}}}})
+		if box := s.callerBox(from); box != nil {
+			from.Told = true
+			box.Bytes = wire.AppendTested(box.Bytes, m.Call, passed)
+		}
 	case wire.TypeProgress, wire.TypeGroup, wire.TypeTested:
 	default:
 		s.Counters[state.BadIn]++
@@ -140,13 +152,39 @@
 	}
 }
 
-// toCaller writes to a caller. What cannot be written is lost with the connection, whose end is told next.
-func (s *Session) toCaller(to *state.Caller, m wire.Message) error {
+// callerBox is where messages for a caller are written; nil: it has left. What cannot be written is lost with the
+// connection, whose end is told next.
+func (s *Session) callerBox(to *state.Caller) *state.Outbox {
 	if to.Conn == nil {
-		return errClosed
+		return nil
+	}
+	if len(to.Box.Bytes) > maxBox {
+		s.writeCaller(to)
+	}
+	return s.box(to, &to.Box)
+}
+
+// tellAnswer tells a caller that its call stands; false: that cannot be told.
+func (s *Session) tellAnswer(to *state.Caller, call uint64, description []byte) bool {
+	box := s.callerBox(to)
+	if box == nil {
+		return false
+	}
+	out, err := wire.AppendAnswer(box.Bytes, call, description)
+	if err != nil {
+		return false
+	}
+	to.Told, box.Bytes = true, out
+	box.Told = append(box.Told, call)
+	return true
+}
+
+// tellRelease tells a caller of an end; milliseconds to stay away go with it, if there are any.
+func (s *Session) tellRelease(to *state.Caller, call uint64, cause byte, stayAway int64) {
+	if box := s.callerBox(to); box != nil {
+		to.Told = true
+		box.Bytes = wire.AppendRelease(box.Bytes, call, cause, stayAway)
 	}
-	to.Told = to.Told || m.Type != wire.TypeHeard
-	return s.send(to.Conn, m)
 }
 
 // odd counts what nothing could be made of. Guards against a client that sends the like again and again, at full
@@ -166,7 +204,9 @@
 		s.turnOut(from, errUsed)
 		return
 	}
-	up, err := wire.ReadSetUp(m)
+	c := s.pool.Call()
+	up, err := wire.ReadSetUp(m, s.names, c.SetUp.Description)
+	c.SetUp = up
 	class, known := s.classes[up.Class]
 	if err == nil {
 		err = s.fits(up, class, known)
@@ -175,7 +215,8 @@
 		s.Counters[state.BadIn]++
 		s.Counters[state.FailuresOut]++
 		s.log.Debug("set-up unreadable", "call", id(m.Call), "error", err)
-		_ = s.toCaller(from, wire.ReleaseOf(m.Call, wire.CauseMissing))
+		s.tellRelease(from, m.Call, wire.CauseMissing, 0)
+		s.pool.Over(c)
 		s.odd(from, badSetUp)
 		return
 	}
@@ -184,23 +225,25 @@
 	if s.refusing() {
 		s.Counters[state.RefusalsOut]++
 		s.ends[class].Rejected++
-		_ = s.toCaller(from, wire.ReleaseOf(m.Call, wire.CauseCongestion)) // another controller may take it at once
+		s.tellRelease(from, m.Call, wire.CauseCongestion, 0) // another controller may take it at once
+		s.pool.Over(c)
 		return
 	}
 	if len(s.calls) >= s.maxHeld || len(from.Open) >= maxOpen || s.bytes+size > s.maxBytes {
 		// Bounds memory; the settings name the number, past which no decision is asked for.
 		s.Counters[state.RefusalsOut]++
 		s.ends[class].Rejected++
-		m := wire.ReleaseOf(m.Call, wire.CauseCongestion)
+		away := int64(0)
 		if after := s.set.Limits.MaxAfter; s.set.Limits.RetryAfter && after > 0 {
-			m.Params = append(m.Params, stayAway(min(after, s.set.Classes[class].Aim)))
+			away = stayAway(min(after, s.set.Classes[class].Aim))
 		}
-		_ = s.toCaller(from, m)
+		s.tellRelease(from, m.Call, wire.CauseCongestion, away)
+		s.pool.Over(c)
 		return
 	}
 	// A timer may come a tick late. Guards against final answers that reach their callers just after these have
 	// given up, and with them the time to come back: one call of twenty under load.
-	c := &state.Call{ID: m.Call, From: from, SetUp: up, Deadline: at + up.Wait - wheelTick}
+	c.ID, c.From, c.Deadline = m.Call, from, at+up.Wait-wheelTick
 	if s.stop != 0 {
 		c.Deadline = min(c.Deadline, s.lastAnswer())
 	}
@@ -255,7 +298,9 @@
 		}
 		s.odd(from, 1)
 	}
-	_ = s.toCaller(from, wire.Message{Type: wire.TypeHeard, Call: m.Call})
+	if box := s.callerBox(from); box != nil {
+		box.Bytes = wire.AppendHeard(box.Bytes, m.Call)
+	}
 }
 
 // callerGaveUp ends a call whose caller has gone: no answer is owed, and an attempt has nobody to stand for.
@@ -281,6 +326,7 @@
 func (s *Session) forget(c *state.Call) {
 	if s.calls[c.ID] == c {
 		s.bytes -= callSize + int64(len(c.SetUp.Description))
+		s.pool.Over(c)
 	}
 	delete(s.calls, c.ID)
 	s.over[c.ID] = s.now
@@ -298,21 +344,15 @@
 	} else {
 		ends.Failed++
 	}
-	m := wire.ReleaseOf(c.ID, cause)
-	if a.Wait > 0 {
-		m.Params = append(m.Params, stayAway(a.Wait))
-	}
-	_ = s.toCaller(c.From, m)
+	s.tellRelease(c.From, c.ID, cause, stayAway(a.Wait))
 	s.answered(c)
 	if c.Attempt == nil {
 		s.forget(c)
 	}
 }
 
-// stayAway tells a caller when to come back.
-func stayAway(wait int64) wire.Param {
-	return wire.Text(wire.ParamStayAway, strconv.FormatInt((wait+999)/1000, 10))
-}
+// stayAway is when a caller is to come back, in whole milliseconds.
+func stayAway(wait int64) int64 { return (wait + 999) / 1000 }
 
 // tellEnd releases a call towards its callers: on the connection given, else on that of any usual caller, else of one
 // that has asked for a call, and again to the next usual one. Guards against telling it to bad clients alone, who come by hundreds and forget it.
@@ -337,7 +377,7 @@
 	}
 	s.Counters[state.ReleasesOut]++
 	to.Unsure[call] = state.Ending{Cause: cause, At: s.now}
-	_ = s.toCaller(to, wire.ReleaseOf(call, cause))
+	s.tellRelease(to, call, cause, 0)
 }
 
 // id writes a call's id as the protocol does.
--- a/internal/session/exchange_test.go
+++ b/internal/session/exchange_test.go
@@ -199,10 +199,10 @@
 // render writes bytes in that notation.
 func render(b []byte) string {
 	m, n, err := wire.Next(b)
-	if text, ok := strings.CutSuffix(string(b), "\n"); ok && n != len(b) {
+	if text, ok := strings.CutSuffix(string(b), "\n"); ok && n == 0 {
 		return `"` + strings.ReplaceAll(text, "\n", `" 0a "`) + `" 0a`
 	}
-	if err != nil || n != len(b) || m.Bad {
+	if err != nil || n == 0 || m.Bad {
 		return hex.EncodeToString(b)
 	}
 	text := fmt.Sprintf("[%02x %016x", byte(m.Type), m.Call)
@@ -213,7 +213,10 @@
 		}
 		text += fmt.Sprintf(" %02x[%s]", p.Code, value)
 	}
-	return text + "]"
+	if text += "]"; n < len(b) {
+		text += render(b[n:])
+	}
+	return text
 }
 
 func newPlayer(t *testing.T) *player {
--- a/internal/session/offices.go
+++ b/internal/session/offices.go
@@ -35,17 +35,17 @@
 			Load: decide.NoLoad()})
 		return
 	}
-	at := &state.Attempt{Call: c, N: c.Sends, Office: office, Since: s.now}
-	c.Sends++
-	if office == nil || c.Answered || c.Attempt != nil || s.maxTries > 0 && at.N >= s.maxTries ||
+	if n := c.Sends; office == nil || c.Answered || c.Attempt != nil || s.maxTries > 0 && n >= s.maxTries ||
 		s.now >= c.Deadline {
+		c.Sends++
 		s.Counters[state.Moot]++
-		s.event(decide.Event{Kind: decide.Ended, Call: a.Call, Server: a.Server, Attempt: at.N,
+		s.event(decide.Event{Kind: decide.Ended, Call: a.Call, Server: a.Server, Attempt: n,
 			Outcome: decide.Unsent, Final: c.Answered, Load: decide.NoLoad()})
 		return
 	}
+	at := c.Try(office, s.now)
 	c.Attempt = at
-	s.wheel.Set(c.Deadline, state.Timer{Kind: state.TimerAttempt, ID: c.ID, N: at.N})
+	s.setTimer(c.Deadline, state.Timer{Kind: state.TimerAttempt, ID: c.ID, N: at.N})
 	if office.Conn != nil {
 		s.put(at)
 		return
@@ -61,12 +61,31 @@
 	// An earlier attempt there may have been given up unheard. Guards against taking the end of the call that
 	// stands for an answer to that.
 	delete(at.Office.Ended, at.Call.ID)
-	at.Office.Out[at.Call.ID] = at
-	// A write that fails has ended the connection; its end is told next and ends the attempt. That it failed, as on a
-	// connection that was reset while idle, proves that the office has nothing of it.
-	at.Failed = s.send(at.Office.Conn, at.Call.SetUp.Onward(at.Call.ID, at.Call.Deadline-s.now)) != nil
-	if !at.Failed {
-		s.Counters[state.AttemptsOut]++
+	o := at.Office
+	o.Out[at.Call.ID] = at
+	box := s.officeBox(o)
+	out, err := at.Call.SetUp.AppendOnward(box.Bytes, at.Call.ID, at.Call.Deadline-s.now)
+	if err != nil {
+		at.Failed = true // it is too long for any office
+		return
+	}
+	box.Bytes = out
+	box.Sent = append(box.Sent, state.Batched{Call: at.Call.ID, N: at.N})
+}
+
+// officeBox is where messages for an office are written.
+func (s *Session) officeBox(o *state.Office) *state.Outbox {
+	if len(o.Box.Bytes) > maxBox {
+		s.writeOffice(o)
+	}
+	return s.box(o, &o.Box)
+}
+
+// toOffice releases a call at an office, if it is connected.
+func (s *Session) toOffice(o *state.Office, call uint64, cause byte) {
+	if o.Conn != nil {
+		box := s.officeBox(o)
+		box.Bytes = wire.AppendRelease(box.Bytes, call, cause, 0)
 	}
 }
 
@@ -112,7 +131,7 @@
 		o.Ended[call] = state.Ending{Cause: cause, At: s.now}
 	}
 	if o.Conn != nil {
-		_ = s.send(o.Conn, wire.ReleaseOf(call, cause))
+		s.toOffice(o, call, cause)
 	} else {
 		s.redial(o)
 	}
@@ -174,11 +193,9 @@
 		s.endAt(o, c.ID, wire.CauseNormal)
 		return
 	}
-	answer := wire.Message{Type: wire.TypeAnswer, Call: c.ID,
-		Params: []wire.Param{{Code: wire.ParamDescription, Value: description}}}
 	s.answered(c)
 	s.forget(c)
-	if err := s.toCaller(c.From, answer); err != nil {
+	if !s.tellAnswer(c.From, c.ID, description) {
 		s.endAt(o, c.ID, wire.CauseNormal) // nobody knows that it stands
 		return
 	}
@@ -186,27 +203,41 @@
 	s.ends[s.classes[c.SetUp.Class]].Completed++
 	s.good(c.From)
 	delete(s.over, c.ID)
-	st := &state.Standing{ID: c.ID, Office: o, From: c.From, Since: s.now}
+	st := s.pool.Standing()
+	*st = state.Standing{ID: c.ID, Office: o, From: c.From, Since: s.now}
 	s.stands[c.ID], o.Standing[c.ID] = st, st
 	c.From.Stands++
 }
 
-// outcomes of a release that comes before the answer, by cause.
-var outcomes = map[byte]decide.Outcome{wire.CauseFull: decide.Rejected, wire.CauseMoot: decide.Unsent,
-	wire.CauseCut: decide.Cut}
+// unheard ends a call whose answer did not reach its caller: nobody knows that it stands.
+func (s *Session) unheard(call uint64) {
+	if st := s.stands[call]; st != nil {
+		s.Counters[state.AnswersOut]--
+		o := st.Office
+		s.over[call] = s.now
+		s.endStanding(st)
+		s.endAt(o, call, wire.CauseNormal)
+	}
+}
+
+// outcomes of a release that comes before the answer, by cause, and how they are counted.
+var outcomes = map[byte]struct {
+	o decide.Outcome
+	c state.Counter
+}{wire.CauseFull: {decide.Rejected, state.FullBack}, wire.CauseMoot: {decide.Unsent, state.Moot},
+	wire.CauseCut: {decide.Cut, state.Resets}}
 
 func (s *Session) officeReleased(o *state.Office, m wire.Message, when int64) {
-	_ = s.send(o.Conn, wire.Message{Type: wire.TypeHeard, Call: m.Call})
+	box := s.officeBox(o)
+	box.Bytes = wire.AppendHeard(box.Bytes, m.Call)
 	cause := m.Cause()
 	if at := o.Out[m.Call]; at != nil {
-		outcome, ok := outcomes[cause]
+		ended, ok := outcomes[cause]
 		if !ok {
-			outcome = decide.Failed
+			ended.o, ended.c = decide.Failed, state.ErrorsBack
 		}
-		counter := map[decide.Outcome]state.Counter{decide.Rejected: state.FullBack, decide.Unsent: state.Moot,
-			decide.Cut: state.Resets, decide.Failed: state.ErrorsBack}[outcome]
-		s.Counters[counter]++
-		s.endedWith(at, outcome, m, when)
+		s.Counters[ended.c]++
+		s.endedWith(at, ended.o, m, when)
 		return
 	}
 	if _, ours := o.Ended[m.Call]; ours {
@@ -229,6 +260,7 @@
 	delete(s.stands, st.ID)
 	st.From.Stands--
 	delete(st.Office.Standing, st.ID)
+	s.pool.Ended(st)
 }
 
 // cut releases towards their callers the calls that stood before a time at an office which is no more.
@@ -264,7 +296,7 @@
 	o.Conn, o.Opened, o.Heard, o.Told = conn, s.now, s.now, 0
 	s.roles[conn] = o
 	for call, e := range inOrder(o.Ended) {
-		_ = s.send(conn, wire.ReleaseOf(call, e.Cause))
+		s.toOffice(o, call, e.Cause)
 	}
 	queue := o.Queue
 	o.Queue = nil
@@ -304,6 +336,7 @@
 // on the next one, which is opened at once.
 func (s *Session) officeLost(o *state.Office, err error) {
 	o.Conn, o.In = nil, nil
+	s.writeOffice(o) // nobody is there: what was to be written has not left
 	s.log.Warn("office connection ended", "office", o.ID, "out", len(o.Out), "standing", len(o.Standing), "error", err)
 	for _, at := range inOrder(o.Out) {
 		if at.Failed {
@@ -382,6 +415,7 @@
 		return
 	}
 	if o.Conn != nil {
+		s.writeOffice(o)
 		delete(s.roles, o.Conn)
 		_ = o.Conn.Close() // its end is what is asked for
 		o.Conn = nil
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -155,8 +155,14 @@
 	spare   []decide.Event
 	acts    []decide.Action
 	out     []byte
+	params  []wire.Param // of the message that is being read
+	dirty   []any        // *state.Caller and *state.Office that have something to be written
+	pool    state.Calls
+	scratch []*state.Caller
+	room    []byte // for the description of the set-up that is being read
 
 	classes    map[string]int
+	names      map[string]string // of classes
 	set        wire.Settings
 	maxTries   int
 	maxHeld    int
@@ -198,7 +204,7 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	s := &Session{net: net, node: node, log: log, now: now, wheel: state.NewWheel(wheelTick, now),
-		began: now, ends: make([]state.Ends, len(cfg.Settings.Classes)), set: cfg.Settings, classes: map[string]int{}, maxTries: set.MaxTries, maxHeld: cfg.Settings.Limits.MaxHeld,
+		began: now, ends: make([]state.Ends, len(cfg.Settings.Classes)), set: cfg.Settings, classes: map[string]int{}, names: map[string]string{}, maxTries: set.MaxTries, maxHeld: cfg.Settings.Limits.MaxHeld,
 		maxCallers: max(16, cfg.Sockets/2), maxBytes: math.MaxInt64, dialLimit: cfg.Settings.Limits.Dial,
 		roles: map[state.Conn]any{}, calls: map[uint64]*state.Call{},
 		stands: map[uint64]*state.Standing{}, unsent: map[uint64]state.Ending{}, over: map[uint64]int64{},
@@ -213,7 +219,7 @@
 		s.maxHeld = 20_000
 	}
 	for i, c := range cfg.Settings.Classes {
-		s.classes[c.Name] = i
+		s.classes[c.Name], s.names[c.Name] = i, c.Name
 		s.longest = max(s.longest, c.Deadline)
 	}
 	s.event(decide.Event{Kind: decide.Start})
@@ -241,6 +247,9 @@
 // value, and carries out the module's actions in order.
 func (s *Session) Step(now int64, arrivals []Arrival) {
 	s.now = max(s.now, now)
+	if len(arrivals) > 0 {
+		s.Counters[state.Rounds]++
+	}
 	for _, a := range arrivals {
 		s.arrive(a)
 	}
@@ -265,6 +274,74 @@
 			s.act(a)
 		}
 	}
+	s.flush()
+	s.pool.Settle()
+}
+
+// maxBox is what may wait for a connection before it is written within the round.
+const maxBox = 64 << 10
+
+// box is where messages for a connection are written behind each other; it is written at the end of the round.
+func (s *Session) box(to any, b *state.Outbox) *state.Outbox {
+	if !b.Dirty {
+		b.Dirty = true
+		s.dirty = append(s.dirty, to)
+	}
+	return b
+}
+
+// flush writes what the round has for each connection, in one write. What one finds out, that its connection has ended,
+// may be something for others to be told.
+func (s *Session) flush() {
+	for i := 0; i < len(s.dirty); i++ {
+		switch to := s.dirty[i].(type) {
+		case *state.Caller:
+			s.writeCaller(to)
+		case *state.Office:
+			s.writeOffice(to)
+		}
+	}
+	clear(s.dirty)
+	s.dirty = s.dirty[:0]
+}
+
+// writeCaller writes what there is for a caller. Where that fails, nobody knows of the calls whose answers were in it.
+func (s *Session) writeCaller(c *state.Caller) {
+	if !s.write(c.Conn, &c.Box) {
+		for _, call := range c.Box.Told {
+			s.unheard(call)
+		}
+	}
+	c.Box.Clear()
+}
+
+// writeOffice writes what there is for an office. A write that fails has ended the connection; its end is told next and
+// ends the attempts. That it failed, as on a connection that was reset while idle, proves that the office has nothing of them.
+func (s *Session) writeOffice(o *state.Office) {
+	sent := s.write(o.Conn, &o.Box)
+	for _, b := range o.Box.Sent {
+		c := s.calls[b.Call]
+		switch {
+		case sent:
+			s.Counters[state.AttemptsOut]++
+		case c != nil && c.Attempt != nil && c.Attempt.N == b.N && c.Attempt.Office == o:
+			c.Attempt.Failed = true
+		}
+	}
+	o.Box.Clear()
+}
+
+// write writes a box; false: the connection is no more.
+func (s *Session) write(conn state.Conn, b *state.Outbox) bool {
+	if len(b.Bytes) == 0 {
+		return true
+	}
+	if conn == nil {
+		return false
+	}
+	s.Counters[state.Writes]++
+	_, err := conn.Write(b.Bytes)
+	return err == nil
 }
 
 // Done tells whether a stop that was asked for is complete: nothing that was taken lacks its answer and no
@@ -307,6 +384,11 @@
 	return n
 }
 
+func (s *Session) setTimer(at int64, t state.Timer) {
+	s.Counters[state.Timers]++
+	s.wheel.Set(at, t)
+}
+
 func (s *Session) event(e decide.Event) { s.events = append(s.events, e) }
 
 func (s *Session) arrive(a Arrival) {
@@ -318,6 +400,8 @@
 	case Dialled:
 		s.dialledTo(a)
 	case Data:
+		s.Counters[state.Reads]++
+		s.Counters[state.Copied] += uint64(len(a.Data))
 		switch role := s.roles[a.Conn].(type) {
 		case *state.Caller:
 			if len(role.In) == 0 {
@@ -371,12 +455,19 @@
 // read takes the whole messages out of what a connection has sent and returns the rest. A length that no
 // message can have ends the connection: where the next message would begin is not known.
 func (s *Session) read(a Arrival, rest []byte, each func(wire.Message)) []byte {
-	buf := append(rest, a.Data...)
-	for {
+	buf, whole := a.Data, false // good for this round
+	if len(rest) > 0 {
+		s.Counters[state.Copied] += uint64(len(a.Data))
+		buf = append(rest, a.Data...)
+	}
+	for ; ; whole = true {
 		if s.roles[a.Conn] == nil {
 			return nil // what came before has ended the connection
 		}
-		m, n, err := wire.Next(buf)
+		m, n, err := wire.NextInto(buf, s.params)
+		if m.Params != nil {
+			s.params = m.Params
+		}
 		if err != nil {
 			s.Counters[state.BadIn]++
 			s.log.Debug("connection unreadable", "error", err)
@@ -388,16 +479,28 @@
 			return nil
 		}
 		if n == 0 {
-			// The rest is copied: what messages were made of must not stay in memory with it.
-			return append([]byte(nil), buf...)
+			if !whole && len(rest) > 0 {
+				return buf // it has grown, and that is all
+			}
+			if len(buf) == 0 || cap(rest) > 4*len(buf)+256 {
+				rest = nil // what messages were made of must not stay in memory
+			}
+			s.Counters[state.Copied] += uint64(len(buf))
+			return append(rest[:0], buf...)
 		}
 		each(m)
 		buf = buf[n:]
 	}
 }
 
-// drop closes a connection of which nothing more is wanted.
+// drop closes a connection of which nothing more is wanted, once what there is for it is written.
 func (s *Session) drop(conn state.Conn, err error) {
+	switch role := s.roles[conn].(type) {
+	case *state.Caller:
+		s.writeCaller(role)
+	case *state.Office:
+		s.writeOffice(role)
+	}
 	_ = conn.Close() // its end is what is asked for
 	s.closed(conn, err)
 }
@@ -417,17 +520,6 @@
 	}
 }
 
-// send writes one message; a connection that fails is dropped when the network tells of it.
-func (s *Session) send(conn state.Conn, m wire.Message) error {
-	out, err := m.Append(s.out[:0])
-	if err != nil {
-		return err
-	}
-	s.out = out
-	_, err = conn.Write(out)
-	return err
-}
-
 // dial opens a connection to an office, or to the journal if it is nil.
 func (s *Session) dial(address string, office *state.Office) uint64 {
 	s.dialled++
@@ -528,7 +620,7 @@
 			s.giveUp(c.Attempt, decide.Cancelled)
 		}
 	case decide.Timer:
-		s.wheel.Set(s.now+a.Wait, state.Timer{Kind: state.TimerModule, ID: a.Token})
+		s.setTimer(s.now+a.Wait, state.Timer{Kind: state.TimerModule, ID: a.Token})
 	case decide.Watch: // the journal is always subscribed to
 	case decide.Log:
 		s.log.Info("decided", "text", a.Text)
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -13,6 +13,29 @@
 	Close() error
 }
 
+// Outbox holds what is to be written to a connection at the end of the round, in one write.
+type Outbox struct {
+	Bytes []byte
+	Sent  []Batched // attempts in it; a write that fails has written nothing
+	Told  []uint64  // calls whose answers are in it
+	Dirty bool      // it is among those that are written at the end of the round
+}
+
+// Batched names an attempt: its call may be another one by the time it is asked after.
+type Batched struct {
+	Call uint64
+	N    int
+}
+
+// Clear empties the box; what it has room for stays, within bounds.
+func (b *Outbox) Clear() {
+	const most = 64 << 10
+	if b.Bytes = b.Bytes[:0]; cap(b.Bytes) > most {
+		b.Bytes = nil
+	}
+	b.Sent, b.Told, b.Dirty = b.Sent[:0], b.Told[:0], false
+}
+
 // Call is a call that was taken and has no final answer yet, or whose attempt is still out.
 type Call struct {
 	ID       uint64
@@ -22,6 +45,70 @@
 	Answered bool  // the caller has its final answer, or is gone
 	Sends    int   // attempts made
 	Attempt  *Attempt
+	attempt  Attempt // what Attempt points to
+}
+
+// Try begins the call's next attempt. There is never more than one.
+func (c *Call) Try(o *Office, now int64) *Attempt {
+	c.attempt = Attempt{Call: c, N: c.Sends, Office: o, Since: now}
+	c.Sends++
+	return &c.attempt
+}
+
+// Calls hands out calls and standing calls, and takes back those that are over. What was taken back is handed out again
+// only after Settle, which comes where nobody holds one any more. Guards against a call that changes under somebody's hands.
+type Calls struct {
+	spare, over     []*Call
+	spareSt, overSt []*Standing
+}
+
+// Bounds of what is kept for later: calls, and of each the room for its description.
+const maxSpare, maxRoom = 512, 1 << 10
+
+// Call hands out a call, empty but for the room for its description.
+func (l *Calls) Call() *Call {
+	if n := len(l.spare); n > 0 {
+		c := l.spare[n-1]
+		l.spare = l.spare[:n-1]
+		return c
+	}
+	return &Call{}
+}
+
+// Over takes back a call.
+func (l *Calls) Over(c *Call) { l.over = append(l.over, c) }
+
+// Standing hands out a standing call.
+func (l *Calls) Standing() *Standing {
+	if n := len(l.spareSt); n > 0 {
+		st := l.spareSt[n-1]
+		l.spareSt = l.spareSt[:n-1]
+		return st
+	}
+	return &Standing{}
+}
+
+// Ended takes back a standing call.
+func (l *Calls) Ended(st *Standing) { l.overSt = append(l.overSt, st) }
+
+// Settle lets what was taken back be handed out again.
+func (l *Calls) Settle() {
+	for i, c := range l.over {
+		room := c.SetUp.Description[:0]
+		if *c = (Call{}); cap(room) <= maxRoom {
+			c.SetUp.Description = room
+		}
+		if l.over[i] = nil; len(l.spare) < maxSpare {
+			l.spare = append(l.spare, c)
+		}
+	}
+	for i, st := range l.overSt {
+		*st = Standing{}
+		if l.overSt[i] = nil; len(l.spareSt) < maxSpare {
+			l.spareSt = append(l.spareSt, st)
+		}
+	}
+	l.over, l.overSt = l.over[:0], l.overSt[:0]
 }
 
 // Attempt is a set-up that is out to an office, or waits for its connection.
@@ -45,6 +132,7 @@
 // Caller is a connection from callers.
 type Caller struct {
 	Conn   Conn
+	Box    Outbox
 	Since  int64            // when it was taken in
 	In     []byte           // part of a message
 	Part   int64            // since when In holds part of a message
@@ -79,6 +167,7 @@
 type Office struct {
 	wire.Office
 	Conn      Conn
+	Box       Outbox
 	Opened    int64  // when the connection came up
 	Unreached bool   // the last connect was refused or did not come up
 	Heard     int64  // when anything last came on it
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -1,11 +1,11 @@
 package wire
 
 import (
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
 	"strconv"
-	"strings"
 
 	"pewterwheel/decide"
 )
@@ -77,7 +77,10 @@
 const messageHead = 9 // type and call id, which the length counts
 
 // Next reads the first message of buf and tells how many bytes it took; 0 means that more is needed.
-func Next(buf []byte) (Message, int, error) {
+func Next(buf []byte) (Message, int, error) { return NextInto(buf, nil) }
+
+// NextInto is Next with a list for the parameters, which is written over; the message is good until it is used again.
+func NextInto(buf []byte, params []Param) (Message, int, error) {
 	if len(buf) < 2 {
 		return Message{}, 0, nil
 	}
@@ -88,7 +91,7 @@
 	if len(buf) < 2+size {
 		return Message{}, 0, nil
 	}
-	m := Message{Type: Type(buf[2]), Call: binary.BigEndian.Uint64(buf[3:])}
+	m := Message{Type: Type(buf[2]), Call: binary.BigEndian.Uint64(buf[3:]), Params: params[:0]}
 	for rest := buf[11 : 2+size]; len(rest) > 0; {
 		if len(rest) < 3 || len(rest)-3 < int(binary.BigEndian.Uint16(rest[1:])) {
 			m.Bad = true
@@ -149,14 +152,16 @@
 // not told.
 func (m Message) Load() decide.Load {
 	v, _ := m.Get(ParamLoad)
-	told := map[string]float64{}
-	for field := range strings.SplitSeq(string(v), ";") {
-		name, value, _ := strings.Cut(field, ":")
-		if n, err := strconv.ParseFloat(value, 64); err == nil && n >= 0 && n <= maxLoad {
-			told[name] = n
+	l := decide.NoLoad()
+	for len(v) > 0 {
+		var field []byte
+		field, v, _ = bytes.Cut(v, []byte{';'})
+		name, value, _ := bytes.Cut(field, []byte{':'})
+		if n, err := strconv.ParseFloat(string(value), 64); err == nil && n >= 0 && n <= maxLoad {
+			l = told(l, string(name), n)
 		}
 	}
-	return load(told)
+	return l
 }
 
 // maxLoad is above any figure of a server; the bound also keeps infinities from the module's sums.
@@ -190,10 +195,11 @@
 // maxWait bounds a caller's wait, so that no arithmetic on it can overflow.
 const maxWait = 3_600_000
 
-// ReadSetUp reads the parameters of a set-up. Its texts are copies. It is strict, for a server closes its connection
+// ReadSetUp reads the parameters of a set-up. Its texts are copies, but for a class that is known by name, whose text is
+// that of the names; the description goes into the room given. It is strict, for a server closes its connection
 // on what it cannot read, whatever else is open there, and no figure that is none may reach a decision.
-func ReadSetUp(m Message) (SetUp, error) {
-	s := SetUp{Dest: -1}
+func ReadSetUp(m Message, names map[string]string, room []byte) (SetUp, error) {
+	s := SetUp{Dest: -1, Description: room[:0]}
 	if m.Bad {
 		return s, errors.New("parameters do not fill the set-up")
 	}
@@ -216,27 +222,33 @@
 	if len(number) == 0 || len(number) > maxNumber || !printable(number) {
 		return s, fmt.Errorf("parameter 28: %.20q", number)
 	}
-	s.Class, s.Wait, s.Number = string(class), ms*1000, string(number)
+	name, known := names[string(class)]
+	if !known {
+		name = string(class)
+	}
+	s.Class, s.Wait, s.Number = name, ms*1000, string(number)
 	v, _ := m.Get(ParamDescription)
 	if len(v) == 0 {
 		return s, errors.New("parameter 61 is missing")
 	}
-	s.Description = append([]byte(nil), v...)
+	s.Description = append(s.Description, v...)
 	info, _ := m.Get(ParamInfo)
-	return s, s.figures(string(info))
+	return s, s.figures(info)
 }
 
 // figures reads parameter 31. Names that are not known are passed over, figures that are none are not.
-func (s *SetUp) figures(info string) error {
+func (s *SetUp) figures(info []byte) error {
 	again := 0
-	for field := range strings.SplitSeq(info, ";") {
-		name, value, ok := strings.Cut(field, ":")
+	for more := true; more; {
+		var field []byte
+		field, info, more = bytes.Cut(info, []byte{';'})
+		name, value, ok := bytes.Cut(field, []byte{':'})
 		if !ok {
 			return fmt.Errorf("parameter 31: %.20q", field)
 		}
 		var into *int
 		low, high, via := 0, maxPlace, 0
-		switch name {
+		switch string(name) {
 		case "dest":
 			into, low = &s.Dest, -1
 		case "via":
@@ -248,7 +260,7 @@
 		default:
 			continue
 		}
-		n, err := strconv.Atoi(value)
+		n, err := strconv.Atoi(string(value))
 		if err != nil || n < low || n > high {
 			return fmt.Errorf("parameter 31: %s %.20q", name, value)
 		}
--- a/internal/wire/message_test.go
+++ b/internal/wire/message_test.go
@@ -48,11 +48,44 @@
 		if again, err := m.Append(nil); err != nil || !bytes.Equal(again, b[:n]) {
 			t.Errorf("% x written as % x, %v", b[:n], again, err)
 		}
-		_, _ = ReadSetUp(m) // must not panic
+		up, err := ReadSetUp(m, map[string]string{"a": "a"}, make([]byte, 3)) // must not panic
+		if err != nil {
+			return
+		}
+		want, err := up.Onward(m.Call, 5_000).Append(nil)
+		got, err2 := up.AppendOnward([]byte("x"), m.Call, 5_000)
+		if (err == nil) != (err2 == nil) || err == nil && string(got) != "x"+string(want) || err != nil && string(got) != "x" {
+			t.Errorf("a set-up goes on as % x, %v; want % x, %v", got, err2, want, err)
+		}
 		_, _ = m.Load(), m.Cause()
 	})
 }
 
+// The two ways of writing a message write the same.
+func TestAppended(t *testing.T) {
+	long := Message{Type: TypeRelease, Call: 7, Params: []Param{{ParamCause, []byte{42}}, Text(ParamStayAway, "1500")}}
+	for _, c := range []struct {
+		m Message
+		b []byte
+	}{
+		{long, AppendRelease(nil, 7, 42, 1500)},
+		{ReleaseOf(7, 16), AppendRelease(nil, 7, 16, 0)},
+		{Message{Type: TypeHeard, Call: 1 << 63}, AppendHeard(nil, 1<<63)},
+	} {
+		if want, err := c.m.Append(nil); err != nil || !bytes.Equal(want, c.b) {
+			t.Errorf("% x, want % x, %v", c.b, want, err)
+		}
+	}
+	for n, sound := range map[int]bool{0: true, 300: true, MaxMessage - 14: true, MaxMessage - 13: false} {
+		d := make([]byte, n)
+		want, err := Message{Type: TypeAnswer, Call: 9, Params: []Param{{ParamDescription, d}}}.Append([]byte("x"))
+		got, err2 := AppendAnswer([]byte("x"), 9, d)
+		if (err == nil) != sound || (err2 == nil) != sound || !bytes.Equal(got, want) {
+			t.Errorf("an answer with %d bytes: %v, %v, %d bytes and %d", n, err, err2, len(got), len(want))
+		}
+	}
+}
+
 func FuzzNextFrame(f *testing.F) {
 	f.Add([]byte("\x00\x00\x00\x09\x00\x00\x00\x00\x00\x00\x00\x01\x00"))
 	f.Fuzz(func(t *testing.T, b []byte) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -348,14 +348,29 @@
 
 func load(m map[string]float64) decide.Load {
 	l := decide.NoLoad()
-	if v, ok := m["recent_ms"]; ok && v >= 0 {
-		l.Wait = v * 1000
+	for name, v := range m { // no order: each goes to a field of its own
+		l = told(l, name, v)
 	}
-	for name, field := range map[string]*float64{"can_take": &l.CanTake, "utilization": &l.Use,
-		"backlog": &l.Queue, "hold_back": &l.Back, "free": &l.Free} {
-		if v, ok := m[name]; ok {
-			*field = v
+	return l
+}
+
+// told sets the one figure that a server tells under a name. Names that are not known are passed over.
+func told(l decide.Load, name string, v float64) decide.Load {
+	switch name {
+	case "recent_ms":
+		if v >= 0 {
+			l.Wait = v * 1000
 		}
+	case "can_take":
+		l.CanTake = v
+	case "utilization":
+		l.Use = v
+	case "backlog":
+		l.Queue = v
+	case "hold_back":
+		l.Back = v
+	case "free":
+		l.Free = v
 	}
 	return l
 }
