--- a/internal/session/offices.go
+++ b/internal/session/offices.go
@@ -11,7 +11,6 @@
 
 var (
 	errDialTime = errors.New("no connection in time")
-	errClosed   = errors.New("connection closed")
 	errSilent   = errors.New("no frame in time")
 	errSpoilt   = errors.New("message spoilt")
 	errMute     = errors.New("nothing said any more")
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -159,7 +159,6 @@
 	dirty   []any        // *state.Caller and *state.Office that have something to be written
 	pool    state.Calls
 	scratch []*state.Caller
-	room    []byte // for the description of the set-up that is being read
 
 	classes    map[string]int
 	names      map[string]string // of classes
