--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -40,7 +40,7 @@
 			"BALANCER_CONFIG names. As a sidecar it reads the file that \"config write\" made.",
 		SilenceUsage: true, SilenceErrors: true, Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error { return service.Main() }}
-	root.AddCommand(configCommand(), sidecarCommand(), demoCommand())
+	root.AddCommand(configCommand(), sidecarCommand(), demoCommand(), storeCommand())
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errs)
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -9,6 +9,8 @@
 	"testing"
 
 	"pewterwheel/internal/config"
+	"pewterwheel/internal/recovery"
+	"pewterwheel/internal/store"
 )
 
 const sources = "../../examples/sidecar/"
@@ -129,3 +131,58 @@
 		t.Errorf("left behind: %v", left)
 	}
 }
+
+// The commands on a store: sound, torn, damaged, repaired, and one that is open.
+func TestStoreCommands(t *testing.T) {
+	dir := t.TempDir()
+	r := recovery.NewRecorder(recovery.NewState())
+	s, err := store.Open(store.Dir(dir), store.Options{SegmentBytes: 100})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range uint64(6) {
+		r.Sent(i+1, "office", 1, 1_000_000, 7_000_000)
+		if !s.Append(r.Batch()) || s.Sync() != nil {
+			t.Fatal("refused")
+		}
+	}
+	if code, _, errs := run("store", "verify", dir); code != Unreadable || !strings.Contains(errs, "another process") {
+		t.Errorf("a store that is open: %d, %q", code, errs)
+	}
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	want := func(code int, said string, args ...string) {
+		t.Helper()
+		got, out, errs := run(append([]string{"store"}, args...)...)
+		if got != code || !strings.Contains(out+errs, said) {
+			t.Errorf("%q: exit code %d, said %q %q; want %d and %q", args, got, out, errs, code, said)
+		}
+	}
+	want(Sound, "sound: 6 records", "verify", dir)
+	want(Sound, "6 records", "inspect", dir)
+	want(Sound, `{"key":"c/6","value":{"id":6,"stage":1,"office":"office","attempts":1,"since":1000000,"deadline":7000000}}`, "dump", "--json", dir)
+	want(Unreadable, "is no folder", "verify", filepath.Join(dir, "none"))
+	segments, err := filepath.Glob(filepath.Join(dir, "segment-*"))
+	if err != nil || len(segments) < 3 {
+		t.Fatalf("%v, %v", segments, err)
+	}
+	text, err := os.ReadFile(segments[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	text[len(text)-1] ^= 1
+	if err := os.WriteFile(segments[0], text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	damaged := filepath.Base(segments[0]) + " at "
+	want(Found, damaged, "verify", dir)
+	want(Sound, "set aside: "+filepath.Base(segments[0]), "repair", "--dry-run", dir)
+	want(Found, damaged, "verify", dir) // nothing has changed
+	want(Sound, "recovered:", "repair", dir)
+	want(Sound, "sound: ", "verify", dir)
+	want(Sound, "not part of the store", "inspect", dir)
+	want(Sound, "", "compact", dir)
+	want(Sound, "checkpoint-", "inspect", dir)
+	want(Sound, "nothing is damaged", "repair", dir)
+}
--- a/internal/store/compact.go
+++ b/internal/store/compact.go
@@ -45,8 +45,8 @@
 	}()
 }
 
-// checkpointFrame is about how many bytes a frame of a checkpoint has.
-const checkpointFrame = 64 << 10
+// checkpointFrame is about how many bytes a frame of a checkpoint has. Tests have smaller ones.
+var checkpointFrame = 64 << 10
 
 // checkpoint writes a checkpoint of the values at these places, and the manifest that names it. Each step is lasting
 // before the next one begins: the checkpoint under another name, then under its own, then the manifest likewise. A cut
--- a/internal/store/memfs_test.go
+++ b/internal/store/memfs_test.go
@@ -49,12 +49,18 @@
 	defer m.mu.Unlock()
 	rng := rand.New(rand.NewPCG(seed, 3))
 	n := newMemFS()
-	names := m.synced
-	if rng.IntN(2) == 0 {
-		names = m.files
-	}
-	for _, name := range slices.Sorted(maps.Keys(names)) {
-		f := names[name]
+	all := maps.Clone(m.synced)
+	maps.Copy(all, m.files)
+	order := rng.IntN(3) // the names that were synced; those since; or some of each, in any order
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		from := m.synced
+		if order == 1 || order == 2 && rng.IntN(2) == 0 {
+			from = m.files
+		}
+		f := from[name]
+		if f == nil {
+			continue
+		}
 		size := f.synced + rng.IntN(len(f.data)-f.synced+1)
 		data := slices.Clone(f.data[:size])
 		if size > f.synced && rng.IntN(4) == 0 { // blocks may be there in another order than they were written
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -14,6 +14,8 @@
 	"time"
 )
 
+func init() { checkpointFrame = 40 } // some frames in each checkpoint
+
 // state is a model of what a store holds.
 type state map[string]string
 
@@ -200,7 +202,7 @@
 }
 
 // Every file is cut short and spoilt at every byte. What is recovered is what the model says: the state before the damage,
-// less all that whole frames behind it have ended. So nothing is invented and nothing revived.
+// of a checkpoint the values in the frames before it, less all that whole frames behind it have ended. So nothing is invented and nothing revived.
 func TestDamageAtEveryByte(t *testing.T) {
 	fs, states, batches := damaged(t)
 	report, err := Inspect(fs.clone(), nil)
@@ -222,7 +224,8 @@
 		data := fs.files[f.Name].data
 		// Where each frame of a segment ends.
 		var ends []int
-		if strings.HasPrefix(f.Name, "segment") {
+		sofar := []state{{}} // of a checkpoint, after each frame
+		if f.Frames > 0 {
 			for at := headSize; at < len(data); {
 				fr, err := readFrame(data[at:], Version)
 				if err != nil {
@@ -230,6 +233,7 @@
 				}
 				at += fr.size
 				ends = append(ends, at)
+				sofar = append(sofar, sofar[len(sofar)-1].apply(fr.ops))
 			}
 		}
 		for at := range data {
@@ -265,8 +269,12 @@
 					if first < headSize {
 						d = 0
 					}
-					before, behind := int(f.First)-1+d, int(f.Last)
-					want = maps.Clone(states[before])
+					behind := int(f.Last)
+					if strings.HasPrefix(f.Name, "segment") {
+						want = maps.Clone(states[int(f.First)-1+d])
+					} else {
+						want, behind = maps.Clone(sofar[d]), 45
+					}
 					if f.Name != last {
 						for _, ops := range batches[behind:] {
 							for _, op := range ops {
@@ -276,8 +284,6 @@
 							}
 						}
 					}
-				} else { // of a checkpoint: its only frame is lost
-					want = state{}
 				}
 				if f.Frames == 0 {
 					want = states[len(states)-1]
@@ -287,7 +293,7 @@
 				}
 				// Opened, it holds the same, and goes on from there.
 				if at%16 == 0 && how == "flipped" {
-					s, err := Open(disk, small())
+					s, err := Open(disk, Options{SegmentBytes: 300, CompactAt: 1 << 30}) // a compaction would heal it
 					if err != nil {
 						t.Fatal(err)
 					}
@@ -393,10 +399,10 @@
 		t.Errorf("%d batches were refused, %d counted", refused, s.Stats().Refused)
 	}
 	close(fs.slow)
+	_ = s.Sync() // it tells of what was lost
 	if s.Append([]Op{{Key: "x", Value: value}}) {
 		t.Error("a batch was taken behind lost ones")
 	}
-	_ = s.Sync() // it tells of what was lost
 	if !s.AppendWhole([]Op{{Key: "all", Value: []byte("there is")}}) || s.Sync() != nil || !s.Append([]Op{{Key: "more", Value: []byte("x")}}) {
 		t.Error("the whole state was not taken")
 	}
