Let go of memory after a burst, and test split, spoilt and crossing messages on the ordinary path

The recorded exchanges are also played split anywhere (fuzz), with each buffer overwritten with 0xDB after its round; a call is answered in the very round in which it is given up.

--- a/internal/route/pool.go
+++ b/internal/route/pool.go
@@ -241,6 +241,9 @@
 	}
 	if r.now-r.periods >= period {
 		r.periods = r.now
+		if len(r.calls) == 0 { // after a burst
+			r.spare, r.looking = nil, nil
+		}
 		for i := range r.pools {
 			r.setFlow(i)
 		}
--- a/internal/session/exchange_test.go
+++ b/internal/session/exchange_test.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"slices"
@@ -60,6 +61,7 @@
 	ready  []Arrival
 	lines  []string
 	ended  bool
+	split  func(n int) int // where what arrives is split, of so many bytes; nil: nowhere
 }
 
 type fakeConn struct {
@@ -105,6 +107,11 @@
 
 func (p *player) step(arrivals ...Arrival) {
 	p.s.Step(p.now, arrivals)
+	for _, a := range arrivals { // the buffer is used again after the round: nobody may look at it any more
+		for i := range a.Data {
+			a.Data[i] = 0xdb
+		}
+	}
 	for len(p.ready) > 0 {
 		ready := p.ready
 		p.ready = nil
@@ -157,7 +164,14 @@
 		conn.dead = true
 		p.step(Arrival{Kind: Closed, At: p.now, Conn: conn, Err: io.EOF})
 	case ">":
-		p.step(Arrival{Kind: Data, At: p.now, Conn: conn, Data: parse(p.t, words[3])})
+		var as []Arrival
+		data := parse(p.t, words[3])
+		for p.split != nil && len(data) > 1 {
+			n := p.split(len(data))
+			as = append(as, Arrival{Kind: Data, At: p.now, Conn: conn, Data: data[:n:n]})
+			data = data[n:]
+		}
+		p.step(append(as, Arrival{Kind: Data, At: p.now, Conn: conn, Data: data})...)
 	default:
 		p.policy[name] = words[2]
 	}
@@ -236,6 +250,78 @@
 	return p
 }
 
+// However what arrives is split, the program does what it did when it was recorded, to the byte.
+func FuzzSplitExchanges(f *testing.F) {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		f.Fatalf("no recordings: %v", err)
+	}
+	for i := range files {
+		f.Add(uint8(i), uint64(0)) // a byte at a time
+		f.Add(uint8(i), uint64(i)+1)
+	}
+	f.Fuzz(func(t *testing.T, file uint8, seed uint64) {
+		text, err := os.ReadFile(files[int(file)%len(files)])
+		if err != nil {
+			t.Fatal(err)
+		}
+		rng := rand.New(rand.NewPCG(seed, 1))
+		play := func(split func(int) int) []string {
+			p := newPlayer(t)
+			p.split = split
+			p.step()
+			for line := range strings.Lines(string(text)) {
+				if fields := strings.Fields(line); len(fields) > 1 && fields[0] != "#" && fields[2%len(fields)] != "<" &&
+					!slices.Contains([]string{"shut", "end"}, fields[len(fields)-1]) {
+					p.play(strings.TrimSuffix(line, "\n"))
+				}
+			}
+			p.until(p.now + 30_000_000)
+			return p.lines
+		}
+		whole := play(nil)
+		split := play(func(n int) int {
+			if seed == 0 {
+				return 1
+			}
+			return 1 + rng.IntN(n-1)
+		})
+		if !slices.Equal(whole, split) {
+			t.Errorf("%s, split: the program does\n%s\nand whole\n%s", files[int(file)%len(files)], strings.Join(split, "\n"), strings.Join(whole, "\n"))
+		}
+	})
+}
+
+// A call is answered in the very round in which its caller gives it up: one of the two counts, whichever is read first,
+// and the office is told if nobody has the call.
+func TestAnswerAndGiveUpInOneRound(t *testing.T) {
+	up := `[01 %s 10["balance-check"] 13["3000"] 1c["n/1"] 1f["dest:0;width:1;via:-1"] 3d["offer"]]`
+	for _, id := range []string{"0000000000000001", "8000000000000001", "8000000000000000", "ffffffffffffffff"} {
+		for _, first := range []string{"answer", "giveup"} {
+			p := newPlayer(t)
+			p.step()
+			p.play("5 a open")
+			p.play("10 a > " + fmt.Sprintf(up, id))
+			answer := Arrival{Kind: Data, At: p.now, Conn: p.conns["o1"], Data: parse(t, "[09 "+id+` 3d["d"]]`)}
+			giveUp := Arrival{Kind: Data, At: p.now, Conn: p.conns["a"], Data: parse(t, "[0c "+id+" 3a[10]]")}
+			p.lines = nil
+			if first == "answer" {
+				p.step(answer, giveUp)
+			} else {
+				p.step(giveUp, answer)
+			}
+			release := "10 o1 < [0c " + id + " 3a[10]]"
+			if n := strings.Count(strings.Join(p.lines, "\n"), release); n != 1 {
+				t.Errorf("%s, %s first: the office was told %d times; %q", id, first, n, p.lines)
+			}
+			answered := strings.Contains(strings.Join(p.lines, "\n"), "a < [09 "+id)
+			if answered != (first == "answer") || len(p.s.calls)+len(p.s.stands) != 0 {
+				t.Errorf("%s, %s first: %d calls, %d stand; %q", id, first, len(p.s.calls), len(p.s.stands), p.lines)
+			}
+		}
+	}
+}
+
 func TestExchanges(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txt")
 	if err != nil || len(files) == 0 {
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -181,12 +181,14 @@
 	stands  map[uint64]*state.Standing
 	unsent  map[uint64]state.Ending // releases to callers, of whom none is connected
 	over    map[uint64]int64        // ids of calls that ended, and when
-	offices state.Offices
-	dials   map[uint64]*state.Office // nil: the journal
-	dialled uint64
-	began   int64
-	stop    int64 // when SIGTERM came; 0: not
-	drain   int64 // since when callers are sent away though the program goes on; 0: they are not
+	// The most entries that these have had at a sweep, since they were last made anew.
+	mostOver, mostCalls, mostStands int
+	offices                         state.Offices
+	dials                           map[uint64]*state.Office // nil: the journal
+	dialled                         uint64
+	began                           int64
+	stop                            int64 // when SIGTERM came; 0: not
+	drain                           int64 // since when callers are sent away though the program goes on; 0: they are not
 }
 
 // New returns a session that knows the list of its configuration. The first Step starts it.
@@ -589,10 +591,17 @@
 
 // sweep drops what is kept only for a while.
 func (s *Session) sweep() {
+	s.pool.Trim()
+	s.mostOver = max(s.mostOver, len(s.over))
+	s.mostCalls = max(s.mostCalls, len(s.calls))
+	s.mostStands = max(s.mostStands, len(s.stands))
 	maps.DeleteFunc(s.over, func(_ uint64, at int64) bool { return s.now-at > remember })
 	if len(s.over) > maxRemembered {
 		clear(s.over)
 	}
+	s.over = shrunk(s.over, &s.mostOver)
+	s.calls = shrunk(s.calls, &s.mostCalls)
+	s.stands = shrunk(s.stands, &s.mostStands)
 	old := func(_ uint64, e state.Ending) bool { return s.now-e.At > remember }
 	maps.DeleteFunc(s.unsent, old)
 	for _, c := range s.callers {
@@ -604,6 +613,18 @@
 	s.offices.Forget()
 }
 
+// shrunk makes a map anew that had many more entries than it has: a map keeps the room of its largest size for good.
+func shrunk[V any](m map[uint64]V, most *int) map[uint64]V {
+	const least, much = 4096, 8
+	if *most < least || len(m) > *most/much {
+		return m
+	}
+	*most = len(m)
+	n := make(map[uint64]V, len(m))
+	maps.Copy(n, m)
+	return n
+}
+
 // act carries out one action of the module.
 func (s *Session) act(a decide.Action) {
 	switch a.Kind {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -60,6 +60,7 @@
 type Calls struct {
 	spare, over     []*Call
 	spareSt, overSt []*Standing
+	used            bool // since the last Trim
 }
 
 // Bounds of what is kept for later: calls, and of each the room for its description.
@@ -67,6 +68,7 @@
 
 // Call hands out a call, empty but for the room for its description.
 func (l *Calls) Call() *Call {
+	l.used = true
 	if n := len(l.spare); n > 0 {
 		c := l.spare[n-1]
 		l.spare = l.spare[:n-1]
@@ -91,6 +93,14 @@
 // Ended takes back a standing call.
 func (l *Calls) Ended(st *Standing) { l.overSt = append(l.overSt, st) }
 
+// Trim lets go of what nobody has asked for since the last one.
+func (l *Calls) Trim() {
+	if !l.used {
+		l.spare, l.spareSt = nil, nil
+	}
+	l.used = false
+}
+
 // Settle lets what was taken back be handed out again.
 func (l *Calls) Settle() {
 	for i, c := range l.over {
