Hand out test ports once each, below those that the system gives to connections

Need: a test of sidecars failed now and then: a port that was free a moment before was somebody else's (address in use), or two applications drew the same one. Seen in 5 of 6 copies of the test run side by side; the checker or the log named the port. Ruled out: the sidecar itself, by the five plays of one copy alone, all sound.

--- a/internal/pathcost/play.go
+++ b/internal/pathcost/play.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"pewterwheel/internal/standin"
 	"pewterwheel/internal/wire"
 )
 
@@ -77,14 +78,7 @@
 
 func listen() (net.Listener, error) { return net.Listen("tcp4", "127.0.0.1:0") }
 
-func free() string {
-	l, err := listen()
-	if err != nil {
-		return ""
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
+func free() string { return fmt.Sprintf("127.0.0.1:%d", standin.FreePort()) }
 
 // platform and beside are the two ways in which the program runs; %s: listener, second address, journal, office.
 const platform = `{"name":"n0","listen":"%s","control":"%s","seed":"8c1f30d27a5be964",
--- a/internal/sidecar/rig_test.go
+++ b/internal/sidecar/rig_test.go
@@ -58,17 +58,6 @@
 
 func (l *lockedLog) String() string { l.mu.Lock(); defer l.mu.Unlock(); return l.b.String() }
 
-// freePort is a port of the loopback that nobody listens on.
-func freePort(t testing.TB) int {
-	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).Port
-}
-
 // start starts a sidecar from a file's text and waits until it serves.
 func start(t testing.TB, dir string, f config.File) *running {
 	t.Helper()
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -155,7 +155,7 @@
 		}
 		for i, s := range []site{d.site, d.changed} {
 			for _, port := range ports {
-				free := fmt.Appendf(nil, ":%d", freePort(t))
+				free := fmt.Appendf(nil, ":%d", standin.FreePort())
 				for j := range s.files {
 					s.files[j].Text = bytes.ReplaceAll(s.files[j].Text, fmt.Appendf(nil, ":%d", port), free)
 				}
@@ -216,7 +216,7 @@
 		hosts = append(hosts, &host{name: fmt.Sprintf("h%d.example.org", i), pool: []string{"core", "reserve"}[i/5], on: true})
 		hosts[i].o = office(hosts[i].name)
 	}
-	ports := []int{freePort(t), freePort(t), freePort(t), freePort(t)}
+	ports := []int{standin.FreePort(), standin.FreePort(), standin.FreePort(), standin.FreePort()}
 	write := func() []config.File {
 		var b strings.Builder
 		b.WriteString("[site]\nname = s\ndomain = example.org\nsidecars = 2\n[rules]\ncold = 4s\nlinger = 2s\n[pool core]\nrate = 1000/s\nopen = 500\n[pool reserve]\nrate = 400/s\nopen = 200\n")
@@ -333,7 +333,7 @@
 	out, found := config.Write(config.File{Name: "site.ini", Text: []byte(b.String())}, []config.File{{Name: "a.ini", Text: fmt.Appendf(nil,
 		"[application]\nname = a\nlistener = 127.0.0.1:%d\ncontrol = 127.0.0.1:%d\nshare = 100%%\ntries = 4\n"+
 			"[class sale-auth]\naim = 500ms\ndeadline = 2s\neffect = free\npools = core, reserve\nrate = 80/s\n"+
-			"[class refund]\naim = 500ms\ndeadline = 2s\neffect = single-shot\npools = reserve, core\nrate = 20/s\n", freePort(t), freePort(t))}})
+			"[class refund]\naim = 500ms\ndeadline = 2s\neffect = single-shot\npools = reserve, core\nrate = 20/s\n", standin.FreePort(), standin.FreePort())}})
 	if found.Errors() > 0 {
 		t.Fatal(found)
 	}
