--- a/internal/pathcost/pathcost_test.go
+++ b/internal/pathcost/pathcost_test.go
@@ -139,10 +139,6 @@
 				t.Error(bad)
 			}
 		}
-		if *latency > 0 {
-			l, err := Latency(os.Args[0], nil, mode, t.TempDir(), *rate, *latency)
-			t.Logf("%-8s %d calls a second: %+v %v", mode, *rate, l, err)
-		}
 	}
 	if *update {
 		if err := os.WriteFile(figuresFile, []byte(text), 0o644); err != nil {
@@ -151,6 +147,20 @@
 	}
 }
 
+// What callers wait at a steady rate, from when each call was to be sent; told, not judged.
+func TestLatency(t *testing.T) {
+	if *latency == 0 {
+		t.Skip("only with -latency")
+	}
+	for _, mode := range []string{"platform", "sidecar"} {
+		l, err := Latency(os.Args[0], nil, mode, t.TempDir(), *rate, *latency)
+		if err != nil || l.P50 <= 0 {
+			t.Errorf("%s: %v", mode, err)
+		}
+		t.Logf("%-8s %d calls a second: %+v", mode, *rate, l)
+	}
+}
+
 // The guard sees one allocation and one write more a call.
 func TestPlantedCostIsSeen(t *testing.T) {
 	bound := bounds(t)
