Answer a set-up whose caller hardly waits in the round in which it comes

A newer process shows it most because its module, which knows nothing yet, refuses much, so that many come again with little time left.

At fault: the deadline left one tick of 5 ms for the answer, which timers use up (callers.go, setUp); and a call was judged hopeless only by a tick of 20 ms or a timer that is never due before the next one (decide.go, order).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -334,6 +334,10 @@
 		n.asked++
 	}
 	n.calls[c.id], n.byToken[c.token] = c, c
+	if n.hopeless(c, n.soonestDelay()) {
+		n.finish(c)
+		return
+	}
 	n.act(Action{Kind: Timer, Wait: max(1, c.deadline-n.now-n.set.Quantum), Token: c.token})
 	n.held = append(n.held, c)
 }
@@ -544,15 +548,20 @@
 	}
 }
 
-// giveUpHopeless ends held calls that no server is expected to set up before their callers leave. Guards
-// against keeping a caller waiting, and a server working, for a call that is lost already.
-func (n *Node) giveUpHopeless() {
-	soonest := n.soonestDelay()
+// hopeless tells whether no server is expected to set up a call before its caller leaves. Guards against
+// keeping a caller waiting, and a server working, for a call that is lost already.
+func (n *Node) hopeless(c *call, soonest float64) bool {
 	if math.IsInf(soonest, 1) {
 		soonest = 0 // no server is up: one may come as long as the caller waits
 	}
+	return !c.over && float64(n.now)+soonest >= float64(c.deadline)
+}
+
+// giveUpHopeless ends held calls that have become hopeless.
+func (n *Node) giveUpHopeless() {
+	soonest := n.soonestDelay()
 	for _, c := range n.held {
-		if !c.over && float64(n.now)+soonest >= float64(c.deadline) {
+		if n.hopeless(c, soonest) {
 			n.finish(c)
 		}
 	}
--- a/internal/session/callers.go
+++ b/internal/session/callers.go
@@ -6,6 +6,7 @@
 	"strconv"
 
 	"pewterwheel/decide"
+	"pewterwheel/internal/admit"
 	"pewterwheel/internal/state"
 	"pewterwheel/internal/wire"
 )
@@ -241,9 +242,7 @@
 		s.pool.Over(c)
 		return
 	}
-	// A timer may come a tick late. Guards against final answers that reach their callers just after these have
-	// given up, and with them the time to come back: one call of twenty under load.
-	c.ID, c.From, c.Deadline = m.Call, from, at+up.Wait-wheelTick
+	c.ID, c.From, c.Deadline = m.Call, from, admit.Deadline(at, up.Wait)
 	if s.stop != 0 {
 		c.Deadline = min(c.Deadline, s.lastAnswer())
 	}
