End no caller's connection on which something waits, unread or not written whole

The session ended a connection as idle by what it had been given; a set-up that had come and was not read yet, as after a stand-still while another process has the core, died with it, and so did the rest of an answer that its caller had not read: the engine drops what it still has at a close (leave.go, sendAway; callers.go, closeQuiet, watchCallers), and the program ended while connections that had never been answered were open (session.go, Done).

Now a connection tells whether bytes have come that nobody read (FIONREAD), or wait for the peer to read (counted where they are handed over and taken), and is ended only when neither is so; the program ends when no caller is left, or when a kill may come.

--- /dev/null
+++ b/internal/service/conn.go
@@ -0,0 +1,44 @@
+package service
+
+import (
+	"fmt"
+	"sync/atomic"
+
+	"github.com/lesismal/nbio"
+	"golang.org/x/sys/unix"
+)
+
+// conn is one of the engine's connections with what the session asks of it beside.
+type conn struct {
+	*nbio.Conn
+	unwritten atomic.Int64 // bytes handed to the engine that the system has not taken
+}
+
+// connOf returns the connection that onOpen made; nil: it was never opened.
+func connOf(c *nbio.Conn) *conn {
+	own, _ := c.Session().(*conn)
+	return own
+}
+
+// Write hands bytes to the engine, which queues what the system does not take at once.
+func (c *conn) Write(b []byte) (int, error) {
+	c.unwritten.Add(int64(len(b)))
+	n, err := c.Conn.Write(b)
+	if err != nil {
+		return n, fmt.Errorf("write: %w", err) // the engine has ended the connection
+	}
+	return n, nil
+}
+
+// written notes bytes that the system has taken.
+func (c *conn) written(n int) { c.unwritten.Add(-int64(n)) }
+
+// Waiting tells whether bytes have come that nobody has read, or some that were written have not left.
+func (c *conn) Waiting() bool {
+	if c.unwritten.Load() > 0 {
+		return true
+	}
+	// Where the connection has ended, its descriptor may be another's by now; its end is told next either way.
+	unread, err := unix.IoctlGetInt(c.Hash(), unix.TIOCINQ)
+	return err == nil && unread > 0
+}
--- a/internal/service/network.go
+++ b/internal/service/network.go
@@ -48,8 +48,11 @@
 		NPoller: 1, ReadBufferSize: readBuffer, MaxWriteBufferSize: unwritten})
 	// The engine calls this before it reads from the connection, so nothing is queued ahead of it.
 	n.engine.OnOpen(func(c *nbio.Conn) {
-		a := session.Arrival{Kind: session.Accepted, At: now(), Conn: c}
-		if id, ok := c.Session().(dialled); ok {
+		own := &conn{Conn: c}
+		a := session.Arrival{Kind: session.Accepted, At: now(), Conn: own}
+		id, ok := c.Session().(dialled)
+		c.SetSession(own)
+		if ok {
 			a.Kind, a.Dial = session.Dialled, uint64(id)
 		} else if n.control != "" && c.LocalAddr().String() == n.control {
 			a.Kind = session.Asked
@@ -59,11 +62,12 @@
 	// The engine tries again at once. Guards against a full core while descriptors are short.
 	n.engine.OnAcceptError(func(error) { time.Sleep(acceptPause) })
 	n.engine.OnData(func(c *nbio.Conn, data []byte) {
-		q.put(session.Arrival{Kind: session.Data, At: now(), Conn: c, Data: data})
+		q.put(session.Arrival{Kind: session.Data, At: now(), Conn: connOf(c), Data: data})
 	})
 	n.engine.OnClose(func(c *nbio.Conn, err error) {
-		q.put(session.Arrival{Kind: session.Closed, At: now(), Conn: c, Err: err})
+		q.put(session.Arrival{Kind: session.Closed, At: now(), Conn: connOf(c), Err: err})
 	})
+	n.engine.OnWrittenSize(func(c *nbio.Conn, _ []byte, size int) { connOf(c).written(size) })
 	return n
 }
 
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -13,8 +13,6 @@
 	"testing"
 	"time"
 
-	"github.com/lesismal/nbio"
-
 	"pewterwheel/internal/session"
 	"pewterwheel/internal/wire"
 )
@@ -238,7 +236,7 @@
 // One sender cannot fill the queue for all, and new connections wait outside while the loop is behind.
 func TestQueueBoundsEachSender(t *testing.T) {
 	q := newQueue(32)
-	loud, quiet := &nbio.Conn{}, &nbio.Conn{}
+	loud, quiet := &conn{}, &conn{}
 	for range 100 {
 		q.put(session.Arrival{Kind: session.Data, Conn: loud, Data: make([]byte, readBuffer)})
 	}
--- a/internal/session/callers.go
+++ b/internal/session/callers.go
@@ -61,7 +61,7 @@
 		if len(c.Open) > 0 || quiet != nil && c.Good && !quiet.Good {
 			continue
 		}
-		if quiet == nil || quiet.Good && !c.Good || c.Quiet < quiet.Quiet {
+		if (quiet == nil || quiet.Good && !c.Good || c.Quiet < quiet.Quiet) && !c.Conn.Waiting() {
 			quiet = c
 		}
 	}
@@ -74,13 +74,15 @@
 
 // watchCallers ends connections that have asked for nothing since they came, or whose message does not end.
 // Guards against clients that say nothing, send half a message, or withdraw all that they ask: each holds a
-// descriptor. A caller with no open set-up loses nothing by it.
+// descriptor. A caller with no open set-up loses nothing by it, unless the rest has come and was not read yet.
 func (s *Session) watchCallers() {
 	for _, c := range s.everyCaller() {
 		switch {
 		case len(c.In) > 0 && s.now-c.Part >= callerWithin:
-			s.turnOut(c, errPartial)
-		case !c.Told && len(c.Open) == 0 && s.now-c.Since >= callerWithin:
+			if !c.Conn.Waiting() {
+				s.turnOut(c, errPartial)
+			}
+		case !c.Told && len(c.Open) == 0 && s.now-c.Since >= callerWithin && !c.Conn.Waiting():
 			s.turnOut(c, errNothing)
 		}
 	}
--- a/internal/session/exchange_test.go
+++ b/internal/session/exchange_test.go
@@ -27,6 +27,7 @@
 //	10 a open                 a caller connects; close: it ends the connection
 //	10 a > [01 0000…01 …]     bytes from the caller a, the office o1 or the journal j
 //	10 a < [0c …]             bytes that the program wrote there; shut: it closed the connection
+//	10 a waiting              from now on something waits on the connection, unread or unwritten; idle: nothing does
 //	10 o1 reset               the connection has ended unnoticed: what is written to it fails
 //	10 o1 refuse              what connects to the office find from now on: accept, refuse, silent
 //	10 term                   SIGTERM; end: the program has ended
@@ -68,8 +69,12 @@
 	p    *player
 	name string
 	dead bool
+	// Something waits on it: it has come and was not read yet, or is not written whole.
+	waiting bool
 }
 
+func (c *fakeConn) Waiting() bool { return c.waiting }
+
 func (c *fakeConn) Write(b []byte) (int, error) {
 	if c.dead {
 		return 0, errors.New("closed")
@@ -160,6 +165,8 @@
 		p.step(Arrival{Kind: kind, At: p.now, Conn: conn})
 	case "reset":
 		conn.dead = true
+	case "waiting", "idle":
+		conn.waiting = words[2] == "waiting"
 	case "close":
 		conn.dead = true
 		p.step(Arrival{Kind: Closed, At: p.now, Conn: conn, Err: io.EOF})
@@ -523,4 +530,18 @@
 	}
 }
 
+// Room for a new caller is made by ending one on which nothing waits, though another has been quiet for longer.
+func TestRoomIsNotMadeWhereSomethingWaits(t *testing.T) {
+	p := newPlayer(t)
+	p.s.maxCallers = 2
+	p.step()
+	for _, line := range []string{"10 a open", "20 b open", "30 a waiting", "40 c open", "50 c waiting", "60 d open"} {
+		p.play(line)
+	}
+	got := strings.Join(p.lines, "; ")
+	if !strings.Contains(got, "40 b shut") || strings.Contains(got, "a shut") || !strings.Contains(got, "60 d shut") {
+		t.Errorf("three came to two places, and a fourth: %s", got)
+	}
+}
+
 var _ state.Conn = (*fakeConn)(nil)
--- a/internal/session/leave.go
+++ b/internal/session/leave.go
@@ -39,7 +39,8 @@
 // refusing tells whether new set-ups are refused, for their connection is to end.
 func (s *Session) refusing() bool { return s.away() >= awayRefuse-awayAfter }
 
-// sendAway ends callers' connections with nothing open, while callers are sent away.
+// sendAway ends callers' connections with nothing open, while callers are sent away. Guards against ending one on which a
+// set-up has come that was not read yet, as after a stand-still, or an answer is not written whole: both would be lost.
 func (s *Session) sendAway() {
 	away := s.away()
 	if away < 0 {
@@ -47,7 +48,7 @@
 	}
 	for _, c := range slices.Clone(s.callers) {
 		switch {
-		case len(c.Open) == 0 && (c.Stands == 0 || s.stop != 0) && (c.Told || s.now-c.Since >= awayNew):
+		case len(c.Open) == 0 && (c.Stands == 0 || s.stop != 0) && (c.Told || s.now-c.Since >= awayNew) && !c.Conn.Waiting():
 			s.drop(c.Conn, errAway)
 		case s.drain != 0 && away >= awayEnd-awayAfter && c.Asked > s.drain+awayRefuse:
 			s.turnAway(c)
@@ -62,8 +63,3 @@
 	}
 	s.drop(c.Conn, errAway)
 }
-
-// served tells whether every caller that was ever answered anything has left or been sent away.
-func (s *Session) served() bool {
-	return !slices.ContainsFunc(s.callers, func(c *state.Caller) bool { return c.Told })
-}
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -345,10 +345,10 @@
 	return err == nil
 }
 
-// Done tells whether a stop that was asked for is complete: nothing that was taken lacks its answer and no
-// more is to come.
+// Done tells whether a stop that was asked for is complete: nothing that was taken lacks its answer, no more is to come,
+// and all that was written has been read, or a kill may come.
 func (s *Session) Done() bool {
-	return s.stop != 0 && s.now >= s.stop+goOn && s.open() == 0 && s.served()
+	return s.stop != 0 && s.now >= s.stop+goOn && s.open() == 0 && (len(s.callers) == 0 || s.now >= s.lastAnswer())
 }
 
 // lastAnswer is when the last call must have its answer once SIGTERM has come.
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -7,10 +7,12 @@
 	"pewterwheel/internal/wire"
 )
 
-// Conn is a connection as the session needs it; Write queues what cannot go at once.
+// Conn is a connection as the session needs it; Write queues what cannot go at once, and Close loses what is still queued.
 type Conn interface {
 	Write([]byte) (int, error)
 	Close() error
+	// Waiting tells whether bytes have come that nobody has read, or some that were written wait for the peer to read.
+	Waiting() bool
 }
 
 // Outbox holds what is to be written to a connection at the end of the round, in one write.
