--- a/internal/service/listen.go
+++ b/internal/service/listen.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
+	"os"
+	"sync/atomic"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -16,8 +20,8 @@
 // listener makes what listens. On the address for callers a second process may listen beside this one, to take over
 // from it, and new connections go to that alone from then on. Guards against connections that wait to be taken in by
 // a process that is ending: they would be reset. The second address is each process's own; how the system writes it
-// is left in told.
-func listener(control string, told *string) func(network, address string) (net.Listener, error) {
+// is left in told. What listens for callers is handed to callers.
+func listener(control string, told *string, callers func(*net.TCPListener) net.Listener) func(network, address string) (net.Listener, error) {
 	return func(network, address string) (net.Listener, error) {
 		if address == control {
 			l, err := net.Listen(network, address)
@@ -46,7 +50,7 @@
 			_ = l.Close() // nothing was taken in
 			return nil, fmt.Errorf("listen beside another process: %w", err)
 		}
-		return l, nil
+		return callers(l.(*net.TCPListener)), nil
 	}
 }
 
@@ -57,3 +61,51 @@
 	}
 	return err
 }
+
+// leaving is a listener that can be left: who waits to be taken in is, and then nobody can come any more.
+type leaving struct {
+	*net.TCPListener
+	asked atomic.Bool // to be left
+	left  func()      // told once it is empty and closed
+}
+
+// leave begins it; Accept does the rest.
+func (l *leaving) leave() {
+	l.asked.Store(true)
+	_ = l.SetDeadline(time.Unix(1, 0)) // wakes it; fails on one that is closed already
+}
+
+// Accept takes in the next caller. Once the listener is left and empty it closes it and does not come back: the engine
+// would call again at once.
+func (l *leaving) Accept() (net.Conn, error) {
+	for {
+		if l.asked.Load() && !l.waits() {
+			_ = l.Close() // nobody is there to be told
+			l.left()
+			select {}
+		}
+		c, err := l.TCPListener.Accept()
+		if err == nil || !l.asked.Load() {
+			return c, err
+		}
+		// Who waits is taken in at once; the bound is for one that has gone meanwhile.
+		_ = l.SetDeadline(time.Now().Add(acceptPause))
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			time.Sleep(acceptPause) // descriptors are short; what waits still waits
+		}
+	}
+}
+
+// waits tells whether anyone waits to be taken in.
+func (l *leaving) waits() bool {
+	c, err := l.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = onSocket(c, func(fd int) (err error) {
+		n, err = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		return err
+	})
+	return errors.Is(err, unix.EINTR) || err == nil && n > 0
+}
--- a/internal/service/network.go
+++ b/internal/service/network.go
@@ -31,6 +31,7 @@
 	queue   *queue
 	now     func() int64
 	control string // the second address, as the system writes it
+	callers *leaving
 }
 
 func newNetwork(cfg Config, q *queue, now func() int64) *network {
@@ -44,7 +45,7 @@
 	if cfg.Control != "" {
 		addresses = append(addresses, cfg.Control)
 	}
-	n.engine = nbio.NewEngine(nbio.Config{Network: "tcp4", Addrs: addresses, Listen: listener(cfg.Control, &n.control),
+	n.engine = nbio.NewEngine(nbio.Config{Network: "tcp4", Addrs: addresses, Listen: listener(cfg.Control, &n.control, n.listens),
 		NPoller: 1, ReadBufferSize: readBuffer, MaxWriteBufferSize: unwritten})
 	// The engine calls this before it reads from the connection, so nothing is queued ahead of it.
 	n.engine.OnOpen(func(c *nbio.Conn) {
@@ -71,6 +72,16 @@
 	return n
 }
 
+// listens keeps what listens for callers.
+func (n *network) listens(l *net.TCPListener) net.Listener {
+	n.callers = &leaving{TCPListener: l, left: func() { n.queue.put(session.Arrival{Kind: session.Left, At: n.now()}) }}
+	return n.callers
+}
+
+// Leave takes in the callers that wait to be, and listens for no more. Guards against callers that wait at a process which
+// has ended, and, where three processes are beside each other for a moment, against the kernel's choice of one that is ending.
+func (n *network) Leave() { n.callers.leave() }
+
 func (n *network) start() error {
 	if err := n.engine.Start(); err != nil {
 		return fmt.Errorf("network: %w", err)
--- a/internal/session/exchange_test.go
+++ b/internal/session/exchange_test.go
@@ -62,7 +62,9 @@
 	ready  []Arrival
 	lines  []string
 	ended  bool
-	split  func(n int) int // where what arrives is split, of so many bytes; nil: nowhere
+	// leaving: no new callers are wanted any more. holds: it is told only by the test that nobody waits.
+	leaving, holds bool
+	split          func(n int) int // where what arrives is split, of so many bytes; nil: nowhere
 }
 
 type fakeConn struct {
@@ -110,6 +112,13 @@
 	p.ready = append(p.ready, a)
 }
 
+// Leave ends listening in the next round, or when a test says so.
+func (p *player) Leave() {
+	if p.leaving = true; !p.holds {
+		p.ready = append(p.ready, Arrival{Kind: Left, At: p.now})
+	}
+}
+
 func (p *player) step(arrivals ...Arrival) {
 	p.s.Step(p.now, arrivals)
 	for _, a := range arrivals { // the buffer is used again after the round: nobody may look at it any more
@@ -530,6 +539,29 @@
 	}
 }
 
+// After SIGTERM the program does not end while callers may wait to be taken in, and answers those that did.
+func TestEndsOnceNobodyWaitsToBeTakenIn(t *testing.T) {
+	p := newPlayer(t)
+	p.holds = true
+	p.step()
+	p.play("100 term")
+	p.until(1_500_000)
+	if p.ended || !p.leaving {
+		t.Fatalf("ended: %v; asked to listen for no more: %v", p.ended, p.leaving)
+	}
+	p.play("1500 a open")
+	p.play(`1500 a > [01 00000000000000a1 10["balance-check"] 13["3000"] 1c["n/1"] 1f["dest:0;width:1;via:-1"] 3d["offer"]]`)
+	p.step(Arrival{Kind: Left, At: p.now})
+	if p.ended {
+		t.Error("ended with a call open")
+	}
+	p.play(`1600 o1 > [09 00000000000000a1 3d["d1"]]`)
+	p.until(2_000_000)
+	if got := strings.Join(p.lines, "\n"); !p.ended || !strings.Contains(got, "1600 a < [09 00000000000000a1") {
+		t.Errorf("ended: %v\n%s", p.ended, got)
+	}
+}
+
 // Room for a new caller is made by ending one on which nothing waits, though another has been quiet for longer.
 func TestRoomIsNotMadeWhereSomethingWaits(t *testing.T) {
 	p := newPlayer(t)
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -36,6 +36,8 @@
 // Network opens connections; the result comes back as an arrival of kind Dialled.
 type Network interface {
 	Dial(address string, id uint64)
+	// Leave takes in the callers that wait to be, and listens for no more; then an arrival of kind Left comes.
+	Leave()
 }
 
 // ArrivalKind tells what arrived.
@@ -52,6 +54,7 @@
 	Reload                          // the configuration was read anew: Update; or could not be: Err
 	Asked                           // someone connected to the second address: Conn
 	Flooded                         // Conn sent more than is kept for it; the rest is lost
+	Left                            // nobody listens for callers any more, and all that waited have been told
 )
 
 // Arrival is one thing that came in from outside, with the time at which it did.
@@ -188,6 +191,7 @@
 	dialled                         uint64
 	began                           int64
 	stop                            int64 // when SIGTERM came; 0: not
+	left                            bool  // nobody listens for callers any more
 	drain                           int64 // since when callers are sent away though the program goes on; 0: they are not
 }
 
@@ -345,10 +349,11 @@
 	return err == nil
 }
 
-// Done tells whether a stop that was asked for is complete: nothing that was taken lacks its answer, no more is to come,
-// and all that was written has been read, or a kill may come.
+// Done tells whether a stop that was asked for is complete: nothing that was taken lacks its answer, no more can come, and
+// all that was written has been read, or a kill may come. Guards against ending while callers wait to be taken in: the
+// system resets them, with the set-ups that they have sent.
 func (s *Session) Done() bool {
-	return s.stop != 0 && s.now >= s.stop+goOn && s.open() == 0 && (len(s.callers) == 0 || s.now >= s.lastAnswer())
+	return s.stop != 0 && s.now >= s.stop+goOn && s.open() == 0 && (s.left && len(s.callers) == 0 || s.now >= s.lastAnswer())
 }
 
 // lastAnswer is when the last call must have its answer once SIGTERM has come.
@@ -437,9 +442,12 @@
 	case Stop:
 		if s.stop == 0 {
 			s.stop = s.now
+			s.wheel.Set(s.stop+goOn, state.Timer{Kind: state.TimerLeave})
 			s.wheel.Set(s.lastAnswer(), state.Timer{Kind: state.TimerStop})
 			s.log.Info("stopping", "open", s.open(), "standing", len(s.stands))
 		}
+	case Left:
+		s.left = true
 	case Report:
 		s.Report()
 	case Reload:
@@ -581,6 +589,8 @@
 		s.watchAskers()
 		s.sendAway()
 		s.wheel.Set(s.now+watch, t)
+	case state.TimerLeave:
+		s.net.Leave()
 	case state.TimerStop:
 		s.endAll()
 	case state.TimerSweep:
--- a/internal/sidecar/bench_test.go
+++ b/internal/sidecar/bench_test.go
@@ -56,6 +56,8 @@
 func (c *fakeConn) Close() error { return nil }
 
 // Dial answers with an office that sets up every call at once.
+func (n *fakeNet) Leave() {}
+
 func (n *fakeNet) Dial(_ string, id uint64) {
 	c := &fakeConn{}
 	c.wrote = func(b []byte) {
--- a/internal/state/wheel.go
+++ b/internal/state/wheel.go
@@ -10,6 +10,7 @@
 	TimerRedial             // an office may be dialled again: Office
 	TimerJournal            // look after the journal connection
 	TimerPartial            // look for messages that do not end, and for callers that want nothing
+	TimerLeave              // no new callers are to come
 	TimerStop               // what is open must have its answer now
 	TimerSweep              // drop what is too old
 )
