--- a/internal/service/network.go
+++ b/internal/service/network.go
@@ -32,6 +32,7 @@
 	now     func() int64
 	control string // the second address, as the system writes it
 	callers *leaving
+	started chan struct{} // closed once the engine runs
 }
 
 func newNetwork(cfg Config, q *queue, now func() int64) *network {
@@ -40,7 +41,7 @@
 	nbio.MaxOpenFiles = sockets + 64 // the engine keeps a table of that size
 	// All peers together that read nothing must not fill memory.
 	unwritten := max(leastUnwritten, int(cfg.Limits.MemoryMB<<20)/2/sockets)
-	n := &network{queue: q, now: now}
+	n := &network{queue: q, now: now, started: make(chan struct{})}
 	addresses := []string{cfg.Listen}
 	if cfg.Control != "" {
 		addresses = append(addresses, cfg.Control)
@@ -86,6 +87,7 @@
 	if err := n.engine.Start(); err != nil {
 		return fmt.Errorf("network: %w", err)
 	}
+	close(n.started)
 	return nil
 }
 
@@ -95,6 +97,7 @@
 // and the engine takes over what has come up.
 func (n *network) Dial(address string, id uint64) {
 	go func() {
+		<-n.started
 		if err := n.dial(address, id); err != nil {
 			n.queue.put(session.Arrival{Kind: session.Dialled, At: n.now(), Dial: id, Err: err})
 		}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -41,13 +41,14 @@
 	if err != nil {
 		return err
 	}
-	if err := network.start(); err != nil {
-		return err
-	}
 	s, err := session.New(sc, network, log, now())
 	if err != nil {
 		return err
 	}
+	// Last, for callers come from here on. Guards against a process that cannot serve, or not yet, beside one that can.
+	if err := network.start(); err != nil {
+		return err
+	}
 	go func() {
 		for sig := range signals {
 			a := signalled(sig, read)
