--- a/internal/session/control.go
+++ b/internal/session/control.go
@@ -49,6 +49,7 @@
 	line, whole, err := wire.NextAsk(asker.In)
 	if err != nil {
 		s.Counters[state.BadIn]++
+		_, _ = asker.Conn.Write(wire.Told(s.out[:0], false, err.Error())) // who does not read it asks again
 		s.drop(asker.Conn, err)
 		return
 	}
