Judge at the door the set-ups of a round that has more than it may hold

Where more come, those go to the module that can still earn the most, the newest first, and the others are refused in that round with the time to stay away, counted in refused_at_door. Fewer are passed on as they came: recordings are unchanged but for the new counter, which no recording shows.

What it brings on sockets is measured next.

--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -106,7 +106,9 @@
 			}
 		}
 		items = q.take(items)
-		s.Step(now(), items)
+		began := now()
+		s.Step(began, items)
+		s.Spent(now() - began)
 	}
 }
 
--- a/internal/session/callers.go
+++ b/internal/session/callers.go
@@ -236,11 +236,7 @@
 		// Bounds memory; the settings name the number, past which no decision is asked for.
 		s.Counters[state.RefusalsOut]++
 		s.ends[class].Rejected++
-		away := int64(0)
-		if after := s.set.Limits.MaxAfter; s.set.Limits.RetryAfter && after > 0 {
-			away = stayAway(min(after, s.set.Classes[class].Aim))
-		}
-		s.tellRelease(from, m.Call, wire.CauseCongestion, away)
+		s.tellRelease(from, m.Call, wire.CauseCongestion, stayAway(s.awayFrom(c)))
 		s.pool.Over(c)
 		return
 	}
@@ -250,6 +246,7 @@
 	}
 	s.calls[c.ID], from.Open[c.ID] = c, c
 	s.bytes += size
+	s.offered = append(s.offered, offered{call: c, id: c.ID, at: at, event: len(s.events)})
 	s.event(decide.Event{Kind: decide.Order, Call: decide.CallID(c.ID), Class: class, Key: up.Number,
 		Deadline: c.Deadline, Dest: up.Dest, Again: up.Again})
 }
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -12,6 +12,7 @@
 	"slices"
 
 	"pewterwheel/decide"
+	"pewterwheel/internal/admit"
 	"pewterwheel/internal/membership"
 	"pewterwheel/internal/state"
 	"pewterwheel/internal/wire"
@@ -162,6 +163,9 @@
 	dirty   []any        // *state.Caller and *state.Office that have something to be written
 	pool    state.Calls
 	scratch []*state.Caller
+	door    admit.Door
+	offered []offered // set-ups of this round
+	offers  []admit.Offer
 
 	classes    map[string]int
 	names      map[string]string // of classes
@@ -255,9 +259,13 @@
 	if len(arrivals) > 0 {
 		s.Counters[state.Rounds]++
 	}
+	s.offered = s.offered[:0]
 	for _, a := range arrivals {
 		s.arrive(a)
 	}
+	if len(s.offered) > s.door.Most() {
+		s.crowded()
+	}
 	s.due = s.wheel.Advance(s.now, s.due[:0])
 	for _, t := range s.due {
 		s.timer(t)
--- a/internal/state/counters.go
+++ b/internal/state/counters.go
@@ -35,18 +35,19 @@
 	AskedIn // lines on the second address
 	Reloads
 	ReloadErrors
-	Reads  // times that something came on a connection
-	Writes // writes to connections, each of all that a round had for one
-	Rounds // steps in which anything arrived
-	Timers // timers set
-	Copied // bytes that were copied on their way in
+	Reads        // times that something came on a connection
+	Writes       // writes to connections, each of all that a round had for one
+	Rounds       // steps in which anything arrived
+	Timers       // timers set
+	Copied       // bytes that were copied on their way in
+	DoorRefusals // of RefusalsOut: set-ups that a crowded round had no room for
 	counters
 )
 
 var counterNames = [counters]string{"callers_in", "setups_in", "giveups_in", "releases_in", "tests_in", "turned_out", "bad_in",
 	"answers_out", "refusals_out", "failures_out", "releases_out", "attempts_out", "cancels_out", "answers_back",
 	"full_back", "errors_back", "timeouts", "unreached", "resets", "moot", "journal_events", "journal_lost",
-	"asked_in", "reloads", "reload_errors", "reads", "writes", "rounds", "timers", "copied"}
+	"asked_in", "reloads", "reload_errors", "reads", "writes", "rounds", "timers", "copied", "refused_at_door"}
 
 // Counters count what the program takes in, sends and answers.
 type Counters [counters]uint64
