--- a/decide/decide.go
+++ b/decide/decide.go
@@ -497,7 +497,9 @@
 
 // release takes a call's attempt off its server's open set-ups.
 func (n *Node) release(c *call) {
-	if i := slices.Index(c.at.open, c); i >= 0 {
+	if i := slices.Index(c.at.open, c); i == 0 { // as a rule; the others need not be moved
+		c.at.open[0], c.at.open = nil, c.at.open[1:]
+	} else if i > 0 {
 		c.at.open = slices.Delete(c.at.open, i, i+1)
 	}
 	c.last, c.at, c.off = c.at, nil, false
@@ -921,11 +923,12 @@
 // began would hold their slots, and their callers, until the deadline. A refusal proves nothing: it does not
 // wait in line.
 func (n *Node) overtaken(s *server, c *call) {
-	for _, o := range s.open {
-		if o != c && o.sent+int64(overtakenBy*n.td) < c.sent {
-			s.lossy = true
-			n.callOff(o)
+	for _, o := range s.open { // in the order in which they were sent
+		if o.sent+int64(overtakenBy*n.td) >= c.sent {
+			break
 		}
+		s.lossy = true
+		n.callOff(o)
 	}
 }
 
--- a/internal/admit/door.go
+++ b/internal/admit/door.go
@@ -12,6 +12,8 @@
 	countsFrom = 16
 	// firstCost is taken for the cost of a set-up until rounds have told it, in microseconds.
 	firstCost = 20.0
+	// refusedPart of what a set-up costs is the cost of one that is refused at the door.
+	refusedPart = 0.25
 	// dearer and cheaper are the weights of a round that cost more, or less, than the average, and jump the most by which one is
 	// believed to have cost more. Guards against one round in which the process stood still.
 	dearer, cheaper, jump = 0.2, 0.05, 3.0
@@ -40,13 +42,13 @@
 	return d.cost
 }
 
-// Took tells how long a round took that held so many set-ups, with the answers and releases of others.
-func (d *Door) Took(setUps int, took int64) {
-	if setUps < countsFrom || took <= 0 {
+// Took tells how long a round took in which so many set-ups were taken and refused, with the answers and releases of others.
+func (d *Door) Took(taken, refused int, took int64) {
+	if taken < countsFrom || took <= 0 {
 		return
 	}
 	cost := d.Cost()
-	is := min(float64(took)/float64(setUps), jump*cost)
+	is := min(float64(took)/(float64(taken)+refusedPart*float64(refused)), jump*cost)
 	gain := cheaper
 	if is > cost {
 		gain = dearer
@@ -54,8 +56,10 @@
 	d.cost = cost + gain*(is-cost)
 }
 
-// Most is how many set-ups a round may hold.
-func (d *Door) Most() int { return max(leastRound, int(roundTime/d.Cost())) }
+// Most is how many of so many set-ups a round may hold: the time that is left once the others are refused.
+func (d *Door) Most(come int) int {
+	return max(leastRound, int((roundTime/d.Cost()-refusedPart*float64(come))/(1-refusedPart)))
+}
 
 // Judge gives the indexes of those offers that are taken, in the order in which they go to the module; the others are to be
 // refused at once. What it returns is good until the next call. It is asked only where there are more than Most: fewer are
@@ -67,7 +71,7 @@
 			d.ranked = append(d.ranked, i)
 		}
 	}
-	most := d.Most()
+	most := d.Most(len(offers))
 	if len(d.ranked) <= most {
 		return d.ranked
 	}
--- a/internal/admit/door_test.go
+++ b/internal/admit/door_test.go
@@ -9,32 +9,39 @@
 
 func TestCostIsLearnt(t *testing.T) {
 	var d Door
-	if got := d.Most(); got != 500 {
+	if got := d.Most(500); got != 500 {
 		t.Errorf("at first a round holds %d", got)
 	}
 	for range 200 {
-		d.Took(100, 1_000)
+		d.Took(100, 0, 1_000)
 	}
 	if c := d.Cost(); c < 9.5 || c > 10.5 {
 		t.Errorf("a set-up at 10 us is taken to cost %.2f", c)
 	}
-	d.Took(countsFrom-1, 1_000_000) // tells nothing
-	d.Took(100, 0)
+	if a, b, c := d.Most(1000), d.Most(2000), d.Most(100_000); a < 998 || a > 1000 || b < 664 || b > 668 || c != leastRound {
+		t.Errorf("at 10 us a round holds %d of 1000, %d of 2000, %d of 100000", a, b, c)
+	}
+	d.Took(100, 400, 2_000) // refusals at a quarter of the price
+	if c := d.Cost(); c < 9.5 || c > 10.5 {
+		t.Errorf("with refusals a set-up at 10 us is taken to cost %.2f", c)
+	}
+	d.Took(countsFrom-1, 0, 1_000_000) // tells nothing
+	d.Took(100, 0, 0)
 	before := d.Cost()
-	d.Took(100, 50_000_000) // the process stood still
+	d.Took(100, 0, 50_000_000) // the process stood still
 	if c := d.Cost(); c <= before || c > 1.5*before {
 		t.Errorf("one round of 50 s moves the cost from %.2f to %.2f", before, c)
 	}
 	for range 50 {
-		d.Took(100, 4_000)
+		d.Took(100, 0, 4_000)
 	}
 	if c := d.Cost(); c < 38 || c > 41 {
 		t.Errorf("at 40 us it is taken to cost %.2f", c)
 	}
 	for range 400 {
-		d.Took(16, 16_000_000)
+		d.Took(16, 0, 16_000_000)
 	}
-	if got := d.Most(); got != leastRound {
+	if got := d.Most(100); got != leastRound {
 		t.Errorf("however dear, a round holds %d", got)
 	}
 }
@@ -71,10 +78,10 @@
 			}
 			in[i] = true
 		}
-		if len(taken) != min(alive, d.Most()) {
-			t.Fatalf("%d of %d are taken, a round holds %d", len(taken), alive, d.Most())
+		if len(taken) != min(alive, d.Most(n)) {
+			t.Fatalf("%d of %d are taken, a round holds %d", len(taken), alive, d.Most(n))
 		}
-		if alive <= d.Most() {
+		if alive <= d.Most(n) {
 			if !slices.IsSorted(taken) {
 				t.Fatalf("there is room for all, and they change places: %v", taken)
 			}
--- a/internal/pathcost/jump.go
+++ b/internal/pathcost/jump.go
@@ -18,7 +18,7 @@
 	Failed, Unanswered        int
 	ServedWaits, RefusedWaits *hdrhistogram.Histogram // microseconds, from when each call was to be sent
 	CPU                       time.Duration           // of the program
-	Rounds                    uint64
+	Rounds, AtDoor            uint64                  // rounds of the loop; of the refused, those that the door refused
 }
 
 // lines is over how many connections calls are offered; each may have 256 open.
@@ -129,6 +129,7 @@
 		l.RefusedWaits.Merge(ln.load.RefusedWaits)
 	}
 	l.Offered, l.CPU = n*len(ls), after.CPU-before.CPU
+	l.AtDoor = after.Counters["refused_at_door"] - before.Counters["refused_at_door"]
 	l.Rounds = after.Counters["rounds"] - before.Counters["rounds"]
 	return l, err
 }
--- a/internal/service/conn.go
+++ b/internal/service/conn.go
@@ -12,6 +12,7 @@
 type conn struct {
 	*nbio.Conn
 	ours      bool         // opened from here
+	trusted   atomic.Bool  // a usual caller's
 	unwritten atomic.Int64 // bytes handed to the engine that the system has not taken
 }
 
@@ -31,6 +32,9 @@
 	return n, nil
 }
 
+// Trust tells that the connection is a usual caller's.
+func (c *conn) Trust() { c.trusted.Store(true) }
+
 // written notes bytes that the system has taken.
 func (c *conn) written(n int) { c.unwritten.Add(-int64(n)) }
 
--- a/internal/service/queue.go
+++ b/internal/service/queue.go
@@ -12,7 +12,8 @@
 	// perConn bounds the bytes of one caller's connection that wait for the loop. Guards against one sender at full
 	// speed filling the queue for all: past it the connection is given up. What came in one read counts for arrivalSize
 	// more, or a sender of single bytes would fill memory all the same. A connection that was opened from here has no
-	// such bound: an office's is everybody's, and in a jump of calls the answers of a tenth of a second are more.
+	// such bound: an office's is everybody's, and in a jump of calls the answers of a tenth of a second are more. A usual
+	// caller is not given up for a jump of its calls either: whoever reads waits for the loop, and so does the caller.
 	perConn     = 2 * readBuffer
 	arrivalSize = 256
 	// maxAccepted bounds the new connections that wait for the loop. Further ones wait in the listener's backlog,
@@ -35,10 +36,12 @@
 	// What came is copied behind each other into one slab, and is good until the next take; by turns with the one that
 	// the loop is reading.
 	slab, reading []byte
+	spare         int // takes in a row that left most of a large slab unused
 }
 
-// maxSlab bounds what a slab keeps room for when it is used again.
-const maxSlab = 256 << 10
+// A slab of more than maxSlab bytes is let go once so many takes in a row have left most of it unused. Guards against
+// making it anew for each round of a jump, and against keeping it for good.
+const maxSlab, maxSpare = 256 << 10, 64
 
 func newQueue(memoryMB int64) *queue {
 	q := &queue{wake: make(chan struct{}, 1), waiting: map[state.Conn]int{}, accepted: map[session.ArrivalKind]int{},
@@ -56,8 +59,10 @@
 			q.room.Wait()
 		}
 		waiting, most := q.waiting[a.Conn], perConn
-		if c, _ := a.Conn.(*conn); c != nil && c.ours {
-			most = math.MaxInt
+		if c, _ := a.Conn.(*conn); c != nil && (c.ours || c.trusted.Load()) {
+			for most = math.MaxInt; !c.ours && waiting > perConn; waiting = q.waiting[a.Conn] {
+				q.room.Wait()
+			}
 		}
 		if waiting > most {
 			q.mu.Unlock()
@@ -96,7 +101,12 @@
 	clear(buf)
 	q.items, q.bytes = buf[:0], 0
 	if cap(q.reading) > maxSlab {
-		q.reading = nil
+		if q.spare++; len(q.slab) > cap(q.reading)/4 {
+			q.spare = 0
+		}
+		if q.spare > maxSpare {
+			q.reading, q.spare = nil, 0
+		}
 	}
 	q.slab, q.reading = q.reading[:0], q.slab
 	clear(q.accepted)
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -258,6 +258,35 @@
 			t.Fatalf("read %d from an office came as %v, with %d bytes", i, a.Kind, len(a.Data))
 		}
 	}
+	usual := &conn{}
+	usual.Trust()
+	whole := make(chan bool)
+	go func() { // more than one connection may have waiting; nothing of it is lost
+		for range 10 {
+			q.put(session.Arrival{Kind: session.Data, Conn: usual, Data: make([]byte, readBuffer)})
+		}
+		close(whole)
+	}()
+	got := 0
+	for all := false; !all; {
+		select {
+		case <-whole:
+			all = true
+		case <-q.wake:
+		}
+		round := q.take(nil)
+		for _, a := range round {
+			if got++; a.Kind != session.Data || len(a.Data) != readBuffer {
+				t.Fatalf("read %d from a usual caller came as %v, with %d bytes", got, a.Kind, len(a.Data))
+			}
+		}
+		if len(round) > perConn/readBuffer+1 {
+			t.Errorf("%d reads of a usual caller waited at once", len(round))
+		}
+	}
+	if got != 10 {
+		t.Errorf("%d of 10 reads came", got)
+	}
 	for range 100_000 {
 		q.put(session.Arrival{Kind: session.Data, Conn: loud, Data: []byte{1}})
 	}
--- a/internal/session/callers.go
+++ b/internal/session/callers.go
@@ -44,6 +44,7 @@
 		return
 	}
 	c.Good = true
+	c.Conn.Trust()
 	for id, e := range inOrder(s.unsent) {
 		delete(s.unsent, id)
 		if _, told := c.Unsure[id]; !told {
--- a/internal/session/crowd.go
+++ b/internal/session/crowd.go
@@ -8,7 +8,7 @@
 )
 
 // Spent tells how long the last Step took, in microseconds, by the clock of whoever calls it.
-func (s *Session) Spent(took int64) { s.door.Took(len(s.offered), took) }
+func (s *Session) Spent(took int64) { s.door.Took(len(s.offered)-s.turned, s.turned, took) }
 
 // offered is a set-up of this round, and the place of its event.
 type offered struct {
@@ -31,16 +31,17 @@
 		s.offers = append(s.offers, offer)
 	}
 	taken := s.door.Judge(s.now, s.offers)
-	orders := make([]decide.Event, len(taken))
-	refused := make([]bool, len(s.offered))
-	for i := range refused {
-		refused[i] = true
+	orders, refused := s.orders[:0], s.refused[:0]
+	for range s.offered {
+		refused = append(refused, true)
 	}
-	for place, i := range taken {
-		orders[place], refused[i] = s.events[s.offered[i].event], false
+	for _, i := range taken {
+		orders, refused[i] = append(orders, s.events[s.offered[i].event]), false
 	}
+	s.orders, s.refused = orders, refused
 	for i, o := range s.offered {
 		if c := s.calls[o.id]; refused[i] && c == o.call && !c.Answered {
+			s.turned++
 			s.Counters[state.DoorRefusals]++
 			s.final(decide.Action{Call: decide.CallID(o.id), Wait: s.awayFrom(c)}, wire.CauseCongestion, state.RefusalsOut)
 		}
--- a/internal/session/crowd_test.go
+++ b/internal/session/crowd_test.go
@@ -23,9 +23,9 @@
 	p := newPlayer(t)
 	p.s.maxHeld = 1000
 	for range 100 {
-		p.s.door.Took(100, 10_000_000)
+		p.s.door.Took(100, 0, 10_000_000)
 	}
-	most := p.s.door.Most()
+	most := p.s.door.Most(225)
 	p.step()
 	conn := func(name, text string) Arrival {
 		p.play("10 " + name + " open")
--- a/internal/session/exchange_test.go
+++ b/internal/session/exchange_test.go
@@ -77,6 +77,8 @@
 
 func (c *fakeConn) Waiting() bool { return c.waiting }
 
+func (c *fakeConn) Trust() {}
+
 func (c *fakeConn) Write(b []byte) (int, error) {
 	if c.dead {
 		return 0, errors.New("closed")
--- a/internal/session/offices.go
+++ b/internal/session/offices.go
@@ -44,7 +44,7 @@
 	}
 	at := c.Try(office, s.now)
 	c.Attempt = at
-	s.setTimer(c.Deadline, state.Timer{Kind: state.TimerAttempt, ID: c.ID, N: at.N})
+	s.setTimer(c.Deadline, state.Timer{Kind: state.TimerAttempt, ID: c.ID, N: int32(at.N)})
 	if office.Conn != nil {
 		s.put(at)
 		return
@@ -399,7 +399,9 @@
 func (s *Session) redialLater(o *state.Office) {
 	o.Backoff = min(max(2*o.Backoff, redialFirst), redialMost)
 	o.NotUntil = s.now + o.Backoff
-	s.wheel.Set(o.NotUntil, state.Timer{Kind: state.TimerRedial, Office: o})
+	s.dialled++
+	s.redials[s.dialled] = o
+	s.wheel.Set(o.NotUntil, state.Timer{Kind: state.TimerRedial, ID: s.dialled})
 }
 
 // officeGone ends an office, or one life of it, when the list tells so. The list is late: guards against
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -166,6 +166,9 @@
 	door    admit.Door
 	offered []offered // set-ups of this round
 	offers  []admit.Offer
+	orders  []decide.Event // room for those that the door takes
+	refused []bool
+	turned  int // set-ups of this round that the door refused
 
 	classes    map[string]int
 	names      map[string]string // of classes
@@ -192,6 +195,7 @@
 	mostOver, mostCalls, mostStands int
 	offices                         state.Offices
 	dials                           map[uint64]*state.Office // nil: the journal
+	redials                         map[uint64]*state.Office // those that wait to be dialled again, by the wait's number
 	dialled                         uint64
 	began                           int64
 	stop                            int64 // when SIGTERM came; 0: not
@@ -217,7 +221,7 @@
 		maxCallers: max(16, cfg.Sockets/2), maxBytes: math.MaxInt64, dialLimit: cfg.Settings.Limits.Dial,
 		roles: map[state.Conn]any{}, calls: map[uint64]*state.Call{},
 		stands: map[uint64]*state.Standing{}, unsent: map[uint64]state.Ending{}, over: map[uint64]int64{},
-		dials: map[uint64]*state.Office{}}
+		dials: map[uint64]*state.Office{}, redials: map[uint64]*state.Office{}}
 	if s.dialLimit <= 0 {
 		s.dialLimit = 500_000
 	}
@@ -263,7 +267,8 @@
 	for _, a := range arrivals {
 		s.arrive(a)
 	}
-	if len(s.offered) > s.door.Most() {
+	s.turned = 0
+	if n := len(s.offered); n > s.door.Most(n) {
 		s.crowded()
 	}
 	s.due = s.wheel.Advance(s.now, s.due[:0])
@@ -573,7 +578,7 @@
 	case state.TimerModule:
 		s.event(decide.Event{Kind: decide.Fired, Token: t.ID})
 	case state.TimerAttempt:
-		if c := s.calls[t.ID]; c != nil && c.Attempt != nil && c.Attempt.N == t.N {
+		if c := s.calls[t.ID]; c != nil && c.Attempt != nil && c.Attempt.N == int(t.N) {
 			s.Counters[state.TimeOuts]++
 			s.giveUp(c.Attempt, decide.TimedOut)
 		}
@@ -587,7 +592,10 @@
 			}
 		}
 	case state.TimerRedial:
-		s.redial(t.Office)
+		if o := s.redials[t.ID]; o != nil {
+			delete(s.redials, t.ID)
+			s.redial(o)
+		}
 	case state.TimerJournal:
 		s.watchJournal()
 		s.wheel.Set(s.now+journalAgain, t)
--- a/internal/sidecar/bench_test.go
+++ b/internal/sidecar/bench_test.go
@@ -53,6 +53,7 @@
 	return len(b), nil
 }
 func (*fakeConn) Waiting() bool  { return false }
+func (*fakeConn) Trust()         {}
 func (c *fakeConn) Close() error { return nil }
 
 // Dial answers with an office that sets up every call at once.
--- a/internal/state/wheel.go
+++ b/internal/state/wheel.go
@@ -7,7 +7,7 @@
 	TimerModule  = iota + 1 // the module's: ID is its token
 	TimerAttempt            // an attempt's time is up: ID is the call, N the attempt
 	TimerDial               // a connect has taken too long: ID is the dial
-	TimerRedial             // an office may be dialled again: Office
+	TimerRedial             // an office may be dialled again: ID is the wait's
 	TimerJournal            // look after the journal connection
 	TimerPartial            // look for messages that do not end, and for callers that want nothing
 	TimerLeave              // no new callers are to come
@@ -15,16 +15,17 @@
 	TimerSweep              // drop what is too old
 )
 
-// Timer is one entry of the wheel. It cannot be taken back; whoever set it checks whether it still matters.
+// Timer is one entry of the wheel. It cannot be taken back; whoever set it checks whether it still matters. It holds no
+// pointer: after a jump there are hundreds of thousands, and the garbage collector would look at each again and again.
 type Timer struct {
-	Kind   int
-	ID     uint64
-	N      int
-	Office *Office
-	tick   int64
+	Kind int32
+	N    int32
+	ID   uint64
+	tick int64
 }
 
-const wheelSlots = 1024
+// A slot that has room for more than slotRoom timers and was less than a quarter full gives its room back.
+const wheelSlots, slotRoom = 1024, 64
 
 // Wheel keeps timers by coarse ticks. A timer comes due at the first tick at or after its time, never before
 // it: what the rules count from a moment on must not start early.
@@ -67,7 +68,9 @@
 				keep = append(keep, t)
 			}
 		}
-		clear((*slot)[len(keep):])
+		if room := cap(*slot); room > slotRoom && len(*slot) < room/4 {
+			keep = append(make([]Timer, 0, len(keep)), keep...)
+		}
 		*slot = keep
 	}
 	return out
--- a/internal/state/wheel_test.go
+++ b/internal/state/wheel_test.go
@@ -43,3 +43,29 @@
 		t.Errorf("came in the order %v", order)
 	}
 }
+
+// The room that a jump takes on the wheel is given back a turn after it.
+func TestWheelGivesRoomBack(t *testing.T) {
+	w := NewWheel(5_000, 0)
+	const many = 200_000
+	for i := range uint64(many) {
+		w.Set(int64(i)*10, Timer{ID: i})
+	}
+	room := func() (n int) {
+		for _, s := range w.slots {
+			n += cap(s)
+		}
+		return n
+	}
+	if room() < many {
+		t.Fatalf("there is room for %d of %d timers", room(), many)
+	}
+	came := 0
+	for now := int64(0); now < 3*wheelSlots*5_000; now += 5_000 {
+		w.Set(now+50_000, Timer{}) // the ordinary day after it
+		came += len(w.Advance(now, nil))
+	}
+	if came < many || room() > wheelSlots*slotRoom {
+		t.Errorf("%d of %d timers came, and there is room for %d still", came, many, room())
+	}
+}
