--- a/decide/decide.go
+++ b/decide/decide.go
@@ -56,6 +56,8 @@
 	coldShare = 0.4
 	// coldEarned is what a set-up that began in time adds to a cold server's budget of one send.
 	coldEarned = 1.2
+	// longLine open set-ups are too many to move them all up for each one that is over.
+	longLine = 64
 )
 
 // tickToken is the token of the recurring timer; calls use their own numbers above it.
@@ -497,9 +499,9 @@
 
 // release takes a call's attempt off its server's open set-ups.
 func (n *Node) release(c *call) {
-	if i := slices.Index(c.at.open, c); i == 0 { // as a rule; the others need not be moved
+	if i := slices.Index(c.at.open, c); i == 0 && len(c.at.open) > longLine {
 		c.at.open[0], c.at.open = nil, c.at.open[1:]
-	} else if i > 0 {
+	} else if i >= 0 {
 		c.at.open = slices.Delete(c.at.open, i, i+1)
 	}
 	c.last, c.at, c.off = c.at, nil, false
