Leave a slot of the wheel the room that the next turn asks for again

Seen: one of ten runs of the path's guard failed beside other work, at 3.05 allocations a call one at a time where 2.99 is the bound: a slot that gave its room back grew again from nothing in its next turn, four times (wheel.go, Advance). It keeps room for 64 now.

--- a/internal/state/wheel.go
+++ b/internal/state/wheel.go
@@ -24,7 +24,8 @@
 	tick int64
 }
 
-// A slot that has room for more than slotRoom timers and was less than a quarter full gives its room back.
+// A slot that has room for more than slotRoom timers and was less than a quarter full gives the rest back. Guards against
+// giving back what the next turn asks for again.
 const wheelSlots, slotRoom = 1024, 64
 
 // Wheel keeps timers by coarse ticks. A timer comes due at the first tick at or after its time, never before
@@ -69,7 +70,7 @@
 			}
 		}
 		if room := cap(*slot); room > slotRoom && len(*slot) < room/4 {
-			keep = append(make([]Timer, 0, len(keep)), keep...)
+			keep = append(make([]Timer, 0, max(slotRoom, len(keep))), keep...)
 		}
 		*slot = keep
 	}
