Measure waits with one rig, and tell answers apart in one place of the stand-ins

The older rig is gone, `make pathcost` offers 2,000 calls a second by the newer one in both ways of running, with HDR histograms; Book.sum tells what a final answer is; allCome is the listeners' check. No code of the program changes.

--- a/Makefile
+++ b/Makefile
@@ -23,4 +23,4 @@
 
 # What a call costs, by count, in each case; fails if it is over internal/pathcost/figures.tsv.
 pathcost:
-	go test ./internal/pathcost -count=1 -v -latency 5s
+	go test ./internal/pathcost -count=1 -v -steady 2000 -jump 2000
--- a/internal/pathcost/jump_test.go
+++ b/internal/pathcost/jump_test.go
@@ -35,19 +35,21 @@
 	if *core >= 0 {
 		env = []string{fmt.Sprint(coreEnv, "=", *core)}
 	}
-	all, err := Jump(os.Args[0], env, "platform", t.TempDir(), *quiet, warm, rates, long, 2*time.Second)
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, l := range all {
-		q := func(p float64) time.Duration {
-			return time.Duration(l.ServedWaits.ValueAtQuantile(p)) * time.Microsecond
+	for _, mode := range []string{"platform", "sidecar"} {
+		all, err := Jump(os.Args[0], env, mode, t.TempDir(), *quiet, warm, rates, long, 2*time.Second)
+		if err != nil {
+			t.Fatal(err)
 		}
-		t.Logf("%6d a second: %6d offered, %6d served, %6d refused (%d at the door), %d failed, %d unanswered; served after %v, %v, %v (50, 99, 99.9%%); refused after %v (99%%); %.1f us of processor a call; %d rounds",
-			l.Rate, l.Offered, l.Served, l.Refused, l.AtDoor, l.Failed, l.Unanswered, q(50), q(99), q(99.9),
-			time.Duration(l.RefusedWaits.ValueAtQuantile(99))*time.Microsecond, float64(l.CPU.Microseconds())/float64(l.Offered), l.Rounds)
-		if l.Unanswered > 0 || l.Served+l.Refused+l.Failed != l.Offered || l.Served == 0 {
-			t.Errorf("%+v", l)
+		for _, l := range all {
+			q := func(p float64) time.Duration {
+				return time.Duration(l.ServedWaits.ValueAtQuantile(p)) * time.Microsecond
+			}
+			t.Logf("%-8s %6d a second: %6d offered, %6d served, %6d refused (%d at the door), %d failed, %d unanswered; served after %v, %v, %v (50, 99, 99.9%%); refused after %v (99%%); %.1f us of processor a call; %d rounds",
+				mode, l.Rate, l.Offered, l.Served, l.Refused, l.AtDoor, l.Failed, l.Unanswered, q(50), q(99), q(99.9),
+				time.Duration(l.RefusedWaits.ValueAtQuantile(99))*time.Microsecond, float64(l.CPU.Microseconds())/float64(l.Offered), l.Rounds)
+			if l.Unanswered > 0 || l.Served+l.Refused+l.Failed != l.Offered || l.Served == 0 {
+				t.Errorf("%+v", l)
+			}
 		}
 	}
 }
--- a/internal/pathcost/pathcost_test.go
+++ b/internal/pathcost/pathcost_test.go
@@ -12,11 +12,7 @@
 	"testing"
 )
 
-var (
-	update  = flag.Bool("update", false, "write the figures that were counted now")
-	latency = flag.Duration("latency", 0, "also offer calls at a steady rate for so long, and tell what callers waited")
-	rate    = flag.Int("rate", 2000, "calls a second that are offered for -latency")
-)
+var update = flag.Bool("update", false, "write the figures that were counted now")
 
 func TestMain(m *testing.M) {
 	if path := os.Getenv(childEnv); path != "" {
@@ -147,20 +143,6 @@
 	}
 }
 
-// What callers wait at a steady rate, from when each call was to be sent; told, not judged.
-func TestLatency(t *testing.T) {
-	if *latency == 0 {
-		t.Skip("only with -latency")
-	}
-	for _, mode := range []string{"platform", "sidecar"} {
-		l, err := Latency(os.Args[0], nil, mode, t.TempDir(), *rate, *latency)
-		if err != nil || l.P50 <= 0 {
-			t.Errorf("%s: %v", mode, err)
-		}
-		t.Logf("%-8s %d calls a second: %+v", mode, *rate, l)
-	}
-}
-
 // The guard sees one allocation and one write more a call.
 func TestPlantedCostIsSeen(t *testing.T) {
 	bound := bounds(t)
--- a/internal/service/listen_test.go
+++ b/internal/service/listen_test.go
@@ -6,6 +6,19 @@
 	"time"
 )
 
+// allCome checks that whoever dials the address comes to one listener.
+func allCome(t *testing.T, address string, to *net.TCPListener) {
+	t.Helper()
+	for range 20 {
+		conn, err := net.Dial("tcp4", address)
+		newPeer(t, conn, err)
+		_ = to.SetDeadline(time.Now().Add(patience))
+		if _, err := to.Accept(); err != nil {
+			t.Fatalf("not all came to one: %v", err)
+		}
+	}
+}
+
 // A second process can listen beside the first, and new connections go to it alone. Guards against connections that
 // are reset because the process that they wait for ends.
 func TestListenBesideAnother(t *testing.T) {
@@ -22,20 +35,7 @@
 		listeners = append(listeners, l.(*net.TCPListener))
 	}
 	defer func() { _ = listeners[1].Close() }()
-	const callers = 20
-	for range callers {
-		c, err := net.Dial("tcp4", address)
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer func() { _ = c.Close() }()
-	}
-	for range callers {
-		_ = listeners[1].SetDeadline(time.Now().Add(patience))
-		if _, err := listeners[1].Accept(); err != nil {
-			t.Fatalf("the second did not get all: %v", err)
-		}
-	}
+	allCome(t, address, listeners[1])
 	_ = listeners[0].Close()
 	c, err := net.Dial("tcp4", address)
 	if err != nil {
@@ -127,16 +127,5 @@
 		go func() { _, _ = l.Accept() }()
 		<-left
 	}
-	const callers = 20
-	for range callers {
-		c, err := net.Dial("tcp4", address)
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer func() { _ = c.Close() }()
-		_ = ls[2].SetDeadline(time.Now().Add(patience))
-		if _, err := ls[2].Accept(); err != nil {
-			t.Fatalf("the third did not get all: %v", err)
-		}
-	}
+	allCome(t, address, ls[2].TCPListener)
 }
--- a/internal/standin/book.go
+++ b/internal/standin/book.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"sync"
 	"time"
+
+	"pewterwheel/internal/wire"
 )
 
 // guard is the rule's: no attempt of a call sooner after one that was given up or cut. early is how much sooner than
@@ -136,6 +138,17 @@
 	return true
 }
 
+// sum is where a final answer of a call is counted.
+func (b *Book) sum(m wire.Message) *int {
+	switch {
+	case m.Type == wire.TypeAnswer:
+		return &b.Counts.Answered
+	case m.Cause() == wire.CauseCongestion:
+		return &b.Counts.Refused
+	}
+	return &b.Counts.Failed
+}
+
 // Settle checks that every call has its one final answer.
 func (b *Book) Settle() {
 	b.mu.Lock()
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -56,26 +56,22 @@
 		}
 		switch m.Type {
 		case wire.TypeAnswer:
-			c.final(m, &c.book.Counts.Answered)
+			c.final(m)
 			time.AfterFunc(c.hold, func() { _ = c.pipe.send(wire.ReleaseOf(m.Call, wire.CauseNormal)) })
 		case wire.TypeRelease:
 			c.mu.Lock()
 			_, open := c.open[m.Call]
 			c.mu.Unlock()
 			_ = c.pipe.send(wire.Message{Type: wire.TypeHeard, Call: m.Call})
-			switch {
-			case !open: // the end of a call that stood
-			case m.Cause() == wire.CauseCongestion:
-				c.final(m, &c.book.Counts.Refused)
-			default:
-				c.final(m, &c.book.Counts.Failed)
+			if open { // else it is the end of a call that stood
+				c.final(m)
 			}
 		}
 	}
 }
 
-func (c *Caller) final(m wire.Message, sum *int) {
-	first := c.book.final(m.Call, sum)
+func (c *Caller) final(m wire.Message) {
+	first := c.book.final(m.Call, c.book.sum(m))
 	c.mu.Lock()
 	ch := c.open[m.Call]
 	delete(c.open, m.Call)
--- a/internal/standin/line.go
+++ b/internal/standin/line.go
@@ -23,8 +23,8 @@
 	pipe  *pipe
 	open  map[uint64]*offered
 	ended bool
-	// Dials, Again and Passed count connections, set-ups that were sent again, and test results.
-	Dials, Again, Passed int
+	// Dials and Again count connections, and set-ups that were sent again.
+	Dials, Again int
 }
 
 // offered is a call without its final answer.
@@ -89,12 +89,8 @@
 			return
 		}
 		switch m.Type {
-		case wire.TypeTested:
-			l.mu.Lock()
-			l.Passed++
-			l.mu.Unlock()
 		case wire.TypeAnswer:
-			l.final(m, &l.book.Counts.Answered)
+			l.final(m)
 			time.AfterFunc(l.hold, func() {
 				l.mu.Lock()
 				defer l.mu.Unlock()
@@ -107,19 +103,15 @@
 			l.mu.Lock()
 			_, open := l.open[m.Call]
 			l.mu.Unlock()
-			switch {
-			case !open: // the end of a call that stood
-			case m.Cause() == wire.CauseCongestion:
-				l.final(m, &l.book.Counts.Refused)
-			default:
-				l.final(m, &l.book.Counts.Failed)
+			if open { // else it is the end of a call that stood
+				l.final(m)
 			}
 		}
 	}
 }
 
-func (l *Line) final(m wire.Message, sum *int) {
-	l.book.final(m.Call, sum)
+func (l *Line) final(m wire.Message) {
+	l.book.final(m.Call, l.book.sum(m))
 	l.mu.Lock()
 	delete(l.open, m.Call)
 	l.mu.Unlock()
