--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -36,6 +36,11 @@
 	LimitMissing     Kind = "limit-missing"
 	LimitOver        Kind = "limit-over-share"
 	LimitUnused      Kind = "limit-of-unused-pool"
+	FleetMissing     Kind = "section-without-fleet"
+	FleetEmpty       Kind = "fleet-without-members"
+	RosterSize       Kind = "roster-size"
+	NotMember        Kind = "not-a-member"
+	RosterZone       Kind = "roster-in-one-zone" // warning
 )
 
 // What one sidecar needs beside callers and hosts, and what a set-up takes beside its description. The service's bounds.
@@ -163,6 +168,7 @@
 			fs.warn(p.File, p.Line, PoolDraining, fmt.Sprintf("every host of pool %s is draining", p.Name), "nothing will be sent there; set one to state = up")
 		}
 	}
+	checkFleet(d, names, fs)
 	m := d.one("machine")
 	if n, ok := m.num("descriptors"); ok {
 		if need := ownDescriptors + perHost*len(d.of("host")); float64(need) > n/2 {
@@ -285,6 +291,13 @@
 	if !at.Addr().IsLoopback() {
 		fs.warn(app.File, line, OpenToAll, fmt.Sprintf("%s is %s, which other machines may reach", key, at), "use 127.0.0.1 unless the application runs elsewhere")
 	}
+	for _, m := range site.of("member") {
+		for _, their := range []string{"address", "bind"} {
+			if claimed, ok := m.socket(their); ok && claimed == at {
+				fs.add(app.File, line, Claimed, fmt.Sprintf("%s is %s, the %s of member %s", key, at, their, m.Name), "give one of them another port")
+			}
+		}
+	}
 	for _, h := range site.of("host") {
 		if host, ok := h.socket("address"); ok && overlap(host, at) {
 			fs.add(app.File, line, Loop, fmt.Sprintf("%s is %s, the address of host %s", key, at, h.Name), "use another port; the sidecar would send to itself")
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -217,3 +217,48 @@
 		}
 	}
 }
+
+// A fleet's sections are carried into written files and read back; without them there is nothing of a fleet, and a member's
+// new address, a new roster and a new change take effect on reload.
+func TestFleetIsCarried(t *testing.T) {
+	files := load(t, "site.ini", "tills.ini", "kiosk.ini")
+	plain, _ := Write(files[0], files[1:])
+	if s, err := Check(plain[:1]).Documents[0].Sidecar(); err != nil || s.Fleet != nil || s.Change != nil || s.Keepers != nil || s.Pooling != nil || len(s.Members) > 0 {
+		t.Errorf("a file without a fleet gave %+v, %v", s, err)
+	}
+	with := func(text string) *Document {
+		site := File{files[0].Name, append(bytes.Clone(files[0].Text), text...)}
+		out, fs := Write(site, files[1:])
+		if len(fs) > 0 {
+			t.Fatal(fs)
+		}
+		return Check(out[:1]).Documents[0]
+	}
+	const fleet = "[fleet]\ncluster = lisboa\nroster-number = 7\nroster = c, a, b\n[keepers]\n[pooling]\nmode = on\n" +
+		"[member a]\naddress = 127.0.0.1:20101\nzone = porto\n[member b]\naddress = 127.0.0.1:20102\nbind = 0.0.0.0:20112\n[member c]\naddress = 127.0.0.1:20103\n"
+	old := with(fleet)
+	s, err := old.Sidecar()
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, ok := s.Member("b")
+	if !ok || b.Bind.String() != "0.0.0.0:20112" || s.Members[0].Bind != s.Members[0].Address || s.Members[0].Zone != "porto" {
+		t.Errorf("members are %+v", s.Members)
+	}
+	if f := s.Fleet; f.Cluster != "lisboa" || f.RosterNumber != 7 || !slices.Equal(f.Roster, []string{"c", "a", "b"}) || f.Lease != 2e6 || f.Drift != 0.01 {
+		t.Errorf("the fleet is %+v", f)
+	}
+	if s.Keepers.Numbers != 64 || s.Keepers.Share != 0.05 || s.Pooling.Mode != "on" || s.Pooling.Unsafe != 0.0001 {
+		t.Errorf("%+v, %+v", s.Keepers, s.Pooling)
+	}
+	is := with(strings.NewReplacer("20103", "20104", "number = 7", "number = 8", "c, a, b", "a, b, c, d, e").Replace(fleet) +
+		"[member d]\naddress = 127.0.0.1:20105\n[member e]\naddress = 127.0.0.1:20106\n[change]\nnumber = 1\nsettings = /tmp/{member}.ini\n")
+	for _, c := range Diff(old, is) {
+		if !c.Reload {
+			t.Errorf("%s", c)
+		}
+	}
+	if n := len(Diff(old, is)); n != 6 {
+		t.Errorf("%d changes: %v", n, Diff(old, is))
+	}
+}
--- a/internal/config/diff.go
+++ b/internal/config/diff.go
@@ -30,7 +30,7 @@
 		return a.Socket == b.Socket
 	case Ports:
 		return a.Ports == b.Ports
-	case Word, Choice, Domain:
+	case Word, Choice, Domain, Path:
 		return a.Text == b.Text
 	}
 	return a.Num == b.Num
@@ -66,9 +66,11 @@
 	return m
 }
 
-// reloadable tells whether sections of that kind may come and go on reload: hosts may, and limits with them; pools and
-// classes are what the running module was built for.
-func reloadable(s *Section) bool { return s.Kind == "host" || s.Kind == "limit" }
+// reloadable tells whether sections of that kind may come and go on reload: hosts may, and limits with them, members and
+// changes; pools and classes are what the running module was built for.
+func reloadable(s *Section) bool {
+	return s.Kind == "host" || s.Kind == "limit" || s.Kind == "member" || s.Kind == "change"
+}
 
 // about says of a host which pool gains or loses it, and what happens there.
 func about(b *Block) string {
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -240,7 +240,7 @@
 			fs.add(d.File, 0, MissingSection, fmt.Sprintf("the %s has no [%s]", d.Kind, s.Kind), "add one; it is "+s.Doc)
 			continue
 		}
-		if s.Named == Alone {
+		if s.Named == Alone && !s.Absent {
 			d.Blocks = append(d.Blocks, readBlock(d.File, &section{kind: s.Kind}, s, fs))
 		}
 	}
--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -38,6 +38,7 @@
 	Owner    Owner
 	Named    Naming
 	Required bool // one at least has to be there
+	Absent   bool // nothing is made of it where no file has it: what it switches on is off
 	Doc      string
 	Settings []Setting
 }
@@ -92,6 +93,32 @@
 		{Key: "weight", Type: Figure, Default: "1", Min: 0.01, Max: 1000, Reload: true, Doc: "its size beside the other hosts of its pool"},
 		{Key: "state", Type: Choice, Default: "up", Choices: []string{"up", "draining"}, Reload: true, Doc: "draining: nothing new is sent there, what stands goes on"},
 	}},
+	{Kind: "fleet", Owner: OfSite, Absent: true, Doc: "what sidecars that speak with each other share; without it none does", Settings: []Setting{
+		{Key: "cluster", Type: Word, Doc: "the fleet's name; what comes from another one is passed by"},
+		{Key: "roster-number", Type: Count, Min: 1, Max: 1e9, Reload: true, Doc: "the roster's number; it grows by one with each change of the roster"},
+		{Key: "roster", Type: Words, Reload: true, Doc: "members that vote on who alone may act: an odd number, three at least"},
+		{Key: "seeds", Type: Words, Optional: true, Reload: true, Doc: "members to join by; absent: all of them"},
+		{Key: "lease", Type: Duration, Default: "2s", Min: 500 * ms, Max: minute, Doc: "how long who alone may act may do so without asking again"},
+		{Key: "drift", Type: Part, Default: "1%", Min: 0.001, Max: 0.2, Doc: "how much faster or slower than another the clock of a machine may run at the most"},
+	}},
+	{Kind: "member", Owner: OfSite, Named: ByWord, Doc: "one process of the fleet", Settings: []Setting{
+		{Key: "address", Type: Socket, Reload: true, Doc: "where others reach it, by UDP and TCP"},
+		{Key: "bind", Type: Socket, Optional: true, Doc: "where it listens, if that is another address"},
+		{Key: "zone", Type: Word, Default: "none", Doc: "what fails together"},
+	}},
+	{Kind: "change", Owner: OfSite, Absent: true, Doc: "a change that is brought out in stages, from SIGHUP to any member on", Settings: []Setting{
+		{Key: "number", Type: Count, Min: 1, Max: 1e9, Reload: true, Doc: "the change's number; each has a higher one"},
+		{Key: "settings", Type: Path, Reload: true, Doc: "the new written file; {member} and {application} stand for their names"},
+		{Key: "program", Type: Path, Optional: true, Reload: true, Doc: "the new program's file"},
+	}},
+	{Kind: "keepers", Owner: OfSite, Absent: true, Doc: "keepers of called numbers that run out of lines", Settings: []Setting{
+		{Key: "numbers", Type: Count, Default: "64", Min: 1, Max: 4096, Doc: "numbers that one member keeps at the most"},
+		{Key: "share", Type: Part, Default: "5%", Max: 1, Doc: "calls to a kept number that go without a permit while its keeper cannot be reached"},
+	}},
+	{Kind: "pooling", Owner: OfSite, Absent: true, Doc: "connections to hosts by what callers' sessions were observed to need", Settings: []Setting{
+		{Key: "mode", Type: Choice, Default: "watch", Choices: []string{"off", "watch", "on"}, Doc: "watch: verdicts are reached and shown, and nothing goes by them"},
+		{Key: "unsafe", Type: Part, Default: "0.01%", Min: 0.00001, Max: 0.01, Doc: "unsafe sessions that may be taken for safe at the most"},
+	}},
 	{Kind: "application", Owner: OfApplication, Required: true, Doc: "what an application declares of itself", Settings: []Setting{
 		{Key: "name", Type: Word, Doc: "the application's name; its sidecar's file is named after it"},
 		{Key: "listener", Type: Socket, Doc: "where the application connects to its sidecar"},
--- a/internal/config/typed.go
+++ b/internal/config/typed.go
@@ -19,6 +19,13 @@
 	Hosts       []Host
 	Application Application
 	Classes     []Class
+
+	// Of members that speak with each other; nil: the file has no such section, and there is none of it.
+	Fleet   *Fleet
+	Members []Member // in the order of the file
+	Change  *Staged
+	Keepers *Keepers
+	Pooling *Pooling
 }
 
 // Machine is what one sidecar may use.
@@ -79,6 +86,51 @@
 	Share            float64 // of what the application may use
 }
 
+// Fleet is what members share.
+type Fleet struct {
+	Cluster      string
+	RosterNumber uint64
+	Roster       []string
+	Seeds        []string // none: all members
+	Lease        int64
+	Drift        float64
+}
+
+// Member is one process of the fleet.
+type Member struct {
+	Name    string
+	Address netip.AddrPort
+	Bind    netip.AddrPort // Address where the file has none
+	Zone    string
+}
+
+// Staged is a change that is brought out in stages.
+type Staged struct {
+	Number            uint64
+	Settings, Program string // paths; {member} and {application} stand for names
+}
+
+// Keepers is what members keep of called numbers that run out of lines.
+type Keepers struct {
+	Numbers int
+	Share   float64
+}
+
+// Pooling is how connections to hosts are shared.
+type Pooling struct {
+	Mode   string // off, watch or on
+	Unsafe float64
+}
+
+// Member returns a member by name.
+func (s *Sidecar) Member(name string) (Member, bool) {
+	i := slices.IndexFunc(s.Members, func(m Member) bool { return m.Name == name })
+	if i < 0 {
+		return Member{}, false
+	}
+	return s.Members[i], true
+}
+
 // Sidecar gives the typed value of a written file that was checked and found sound.
 func (d *Document) Sidecar() (Sidecar, error) {
 	if d.Kind != SidecarFile {
@@ -120,6 +172,30 @@
 			LateWorth: num(b, "late-worth"), Effect: b.text("effect"), Scope: b.text("scope"), Window: us(b, "window"),
 			Pools: v.List, Rate: num(b, "rate") / max(1, num(app, "sidecars")), Share: shares[i]})
 	}
+	if f := d.one("fleet"); f != nil {
+		roster, _ := f.value("roster")
+		seeds, _ := f.value("seeds")
+		s.Fleet = &Fleet{f.text("cluster"), uint64(num(f, "roster-number")), roster.List, seeds.List, us(f, "lease"), num(f, "drift")}
+	}
+	for _, b := range d.of("member") {
+		m := Member{Name: b.Name, Zone: b.text("zone")}
+		m.Address, _ = b.socket("address")
+		if at, ok := b.socket("bind"); ok {
+			m.Bind = at
+		} else {
+			m.Bind = m.Address
+		}
+		s.Members = append(s.Members, m)
+	}
+	if b := d.one("change"); b != nil {
+		s.Change = &Staged{uint64(num(b, "number")), b.text("settings"), b.text("program")}
+	}
+	if b := d.one("keepers"); b != nil {
+		s.Keepers = &Keepers{count(b, "numbers"), num(b, "share")}
+	}
+	if b := d.one("pooling"); b != nil {
+		s.Pooling = &Pooling{b.text("mode"), num(b, "unsafe")}
+	}
 	return s, nil
 }
 
--- a/internal/config/value.go
+++ b/internal/config/value.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"math"
 	"net/netip"
+	"path"
 	"regexp"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"unicode"
 )
 
 // Type is what a setting's value is.
@@ -29,6 +31,7 @@
 	Domain                   // a domain's name
 	Socket                   // an IPv4 address with a port
 	Ports                    // a range of ports
+	Path                     // a file's path from the root on
 )
 
 // The findings about a value alone.
@@ -51,6 +54,7 @@
 	PortZero    Kind = "port-zero"
 	PortRange   Kind = "port-range"
 	BadPorts    Kind = "bad-port-range"
+	BadPath     Kind = "bad-path"
 )
 
 // Value is a setting's value, read.
@@ -106,7 +110,7 @@
 // example is a sound value, for messages.
 func (t Type) example() string {
 	return map[Type]string{Word: "core-1", Words: "core, reserve", Count: "4", Figure: "1.5", Duration: "800ms", Size: "256MiB",
-		Rate: "40/s", Part: "25%", Domain: "example.org", Socket: "127.0.0.1:20001", Ports: "20000-29999"}[t]
+		Rate: "40/s", Part: "25%", Domain: "example.org", Socket: "127.0.0.1:20001", Ports: "20000-29999", Path: "/etc/pewterwheel/next.ini"}[t]
 }
 
 // read reads a value as the setting has it.
@@ -140,6 +144,8 @@
 		v.Socket, err = readSocket(s.Key, text)
 	case Ports:
 		v.Ports, err = readPorts(s.Key, text)
+	case Path:
+		err = checkPath(s.Key, text)
 	default:
 		v.Num, err = s.number(text)
 	}
@@ -295,3 +301,12 @@
 	}
 	return [2]int{a, b}, nil
 }
+
+// checkPath checks a file's path as far as that goes without looking for the file.
+func checkPath(key, text string) error {
+	if !strings.HasPrefix(text, "/") || strings.HasSuffix(text, "/") || len(text) > 1024 || strings.ContainsFunc(text, unicode.IsControl) ||
+		path.Clean(text) != text {
+		return &problem{BadPath, fmt.Sprintf("%s is %s, which is no file's path from the root on", key, quote(text)), "write it like " + Path.example()}
+	}
+	return nil
+}
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -23,6 +23,8 @@
 	Roster      uint64          // number of the roster it knows
 	Windows     []Window        // the newest last; MaxWindows at the most
 	Parts       map[Kind][]byte // what the modules keep in it; MaxBody each
+
+	rest fields // of a newer version: kept, and written again
 }
 
 // Window are a process's figures over one stretch of time of fixed length. Numbers count up from the process's start.
@@ -33,6 +35,8 @@
 	CPU    int64  // microseconds of processor time used
 	Memory int64  // bytes resident at its end
 	Broken uint64 // counters that must stay 0, summed
+
+	rest fields
 }
 
 // ClassFigures are what became of the calls of one class in a window.
@@ -41,4 +45,6 @@
 	Offered, Served, Refused, Failed, Late uint64
 	Worth, Whole                           float64  // worth served, and that of all offered
 	Waits                                  []uint32 // answers by their wait: bucket i holds waits of under 2^(i+9) microseconds
+
+	rest fields
 }
