--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -60,12 +60,12 @@
 }
 
 func sidecarCommand() *cobra.Command {
-	var path, format, level string
+	var o sidecar.Options
 	c := &cobra.Command{Use: "sidecar --config FILE", Short: "Check a sidecar's file, then serve by it", Args: cobra.NoArgs,
 		Long: "Checks the file with what \"config check\" uses and refuses to start on findings, with the same messages and\n" +
 			"exit code 1; then serves. SIGHUP reads the file anew, SIGTERM ends when all that was taken is answered.",
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			err := sidecar.Serve(path, format, level, cmd.ErrOrStderr())
+			err := sidecar.Serve(o, cmd.ErrOrStderr())
 			var found *sidecar.FindingsError
 			var unread *sidecar.UnreadableError
 			switch {
@@ -79,9 +79,10 @@
 			}
 			return nil
 		}}
-	c.Flags().StringVar(&path, "config", "", "the file that \"config write\" made")
-	c.Flags().StringVar(&format, "log-format", "", "text or json, in place of what the file says")
-	c.Flags().StringVar(&level, "log-level", "", "debug, info, warn or error, in place of what the file says")
+	c.Flags().StringVar(&o.Path, "config", "", "the file that \"config write\" made")
+	c.Flags().StringVar(&o.Format, "log-format", "", "text or json, in place of what the file says")
+	c.Flags().StringVar(&o.Level, "log-level", "", "debug, info, warn or error, in place of what the file says")
+	c.Flags().StringVar(&o.Member, "member", os.Getenv(sidecar.MemberVariable), "which [member] of the file's fleet this process is; else what "+sidecar.MemberVariable+" says")
 	_ = c.MarkFlagRequired("config")
 	return c
 }
--- a/internal/fleet/book.go
+++ b/internal/fleet/book.go
@@ -59,7 +59,7 @@
 	Garbage uint64 // could not be read, or over a bound
 	Full    uint64 // no room
 	Raised  uint64 // times this process took a higher life than one heard of its own name
-	Over uint64 // own entries that were over size even when all was shed
+	Over    uint64 // own entries that were over size even when all was shed
 }
 
 type record struct {
--- a/internal/fleet/coding.go
+++ b/internal/fleet/coding.go
@@ -250,7 +250,9 @@
 // DecodeEntry reads an entry. Fields that it does not know are kept, and written again by Encode. The error is an
 // *EntryError.
 func DecodeEntry(b []byte) (*Entry, error) {
-	bad := func(what string, args ...any) (*Entry, error) { return nil, &EntryError{len(b), fmt.Sprintf(what, args...)} }
+	bad := func(what string, args ...any) (*Entry, error) {
+		return nil, &EntryError{len(b), fmt.Sprintf(what, args...)}
+	}
 	if len(b) > MaxEntry {
 		return bad("over %d", MaxEntry)
 	}
--- /dev/null
+++ b/internal/sidecar/fail_on.go
@@ -0,0 +1,8 @@
+//go:build failpoints
+
+package sidecar
+
+import "pewterwheel/internal/fleet"
+
+// failParts are parts that only tests have.
+func (t *together) failParts() []fleet.Part { return nil }
--- /dev/null
+++ b/internal/sidecar/fleet.go
@@ -0,0 +1,333 @@
+package sidecar
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"os"
+	"runtime/debug"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"pewterwheel/decide"
+	"pewterwheel/internal/advice"
+	"pewterwheel/internal/agent"
+	"pewterwheel/internal/config"
+	"pewterwheel/internal/failpoint"
+	"pewterwheel/internal/fleet"
+	"pewterwheel/internal/fleetnet"
+	"pewterwheel/internal/meter"
+	"pewterwheel/internal/session"
+)
+
+// MemberVariable of the environment names the member that this process is, where no flag does.
+const MemberVariable = "PEWTERWHEEL_MEMBER"
+
+const (
+	// bindAgain is the pause before an address is tried again that another process still has: in a take-over the predecessor
+	// leaves the fleet when its last call is answered.
+	bindAgain = 250 * time.Millisecond
+	// applyWithin is how long the loop of calls may take to go by new settings.
+	applyWithin = 5 * time.Second
+)
+
+// MemberError is a name under which this process cannot take part.
+type MemberError struct{ Name, Why string }
+
+func (e *MemberError) Error() string { return fmt.Sprintf("fleet: member %q: %s", e.Name, e.Why) }
+
+// Advice says what an operator can do.
+func (e *MemberError) Advice() string {
+	return "Start the process with --member and a name that has a [member] section in its file, or without the flag to serve alone."
+}
+
+// ApplyError is settings, or a program, that this process refuses to go by. It goes on as before.
+type ApplyError struct {
+	Path string
+	Err  error
+}
+
+func (e *ApplyError) Error() string { return fmt.Sprintf("fleet: cannot go by %s: %v", e.Path, e.Err) }
+func (e *ApplyError) Unwrap() error { return e.Err }
+
+// Advice says what an operator can do.
+func (e *ApplyError) Advice() string {
+	return "Run config check on that file on this machine; put the right file there, and start the change again under a higher number."
+}
+
+// Errors are the errors of this package that concern several processes, for the operators' page.
+var Errors = []advice.Advised{&MemberError{}, &ApplyError{}}
+
+var (
+	errDigest  = errors.New("it is not the file that the change names: its digest is another")
+	errLate    = errors.New("the settings were not taken in time")
+	errProgram = errors.New("this version changes settings alone, not its program")
+	errOther   = errors.New("it is the file of another application")
+)
+
+// Front stands before the decider of a process.
+type Front func(set decide.Settings, classes []string, inner session.Decider) session.Decider
+
+// together is what one process has to do with others. It is made only where the file has a fleet and the process a name.
+type together struct {
+	reader *Reader
+	log    *slog.Logger
+	base   config.Sidecar // as at the start
+	member config.Member
+	board  fleet.Board
+	parts  []fleet.Part
+	meter  atomic.Pointer[meter.Meter]
+	agent  atomic.Pointer[agent.Agent]
+	hup    chan<- os.Signal
+	stop   chan struct{}
+	over   chan struct{}
+	onLoad []func(config.Sidecar) // called with each new file, on no goroutine in particular
+
+	mu    sync.Mutex
+	state fleet.State
+	doing sync.Mutex // one act on the settings at a time
+}
+
+// join makes what a process needs to take part, if it is to; nil: it serves alone.
+func join(r *Reader, s config.Sidecar, name string, log *slog.Logger) (*together, error) {
+	switch {
+	case s.Fleet == nil && name == "":
+		return nil, nil
+	case s.Fleet == nil:
+		return nil, &MemberError{name, "the file has no [fleet]"}
+	case name == "":
+		log.Info("serving alone: the file has a fleet, and no member is named")
+		return nil, nil
+	}
+	m, ok := s.Member(name)
+	if !ok {
+		return nil, &MemberError{name, "the file has no such [member]"}
+	}
+	t := &together{reader: r, log: log, base: s, member: m, state: fleet.Starting, stop: make(chan struct{}), over: make(chan struct{})}
+	t.makeParts()
+	r.fronts = append(r.fronts, t.measure) // the last stands in front of all others
+	r.loaded = t.loaded
+	return t, nil
+}
+
+// makeParts makes the parts that decide over several processes, in the order in which they are told of things.
+func (t *together) makeParts() {
+	t.parts = append(t.parts, t.failParts()...)
+}
+
+// measure puts the meter in front.
+func (t *together) measure(set decide.Settings, classes []string, inner session.Decider) session.Decider {
+	m := meter.New(set, classes, inner)
+	m.Started = func() { t.now(fleet.Serving) }
+	m.Also = func(put func(name string, n uint64, gauge bool)) {
+		if a := t.agent.Load(); a != nil {
+			a.Figures(put)
+		}
+	}
+	t.meter.Store(m)
+	return m
+}
+
+func (t *together) window() fleet.Window {
+	if m := t.meter.Load(); m != nil {
+		return m.Read()
+	}
+	return fleet.Window{}
+}
+
+// now says what this process does.
+func (t *together) now(s fleet.State) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.state = max(t.state, s)
+	if a := t.agent.Load(); a != nil {
+		a.State(t.state)
+	}
+}
+
+// addresses is where this process reaches the others.
+func addresses(s config.Sidecar, self string) map[string]netip.AddrPort {
+	m := map[string]netip.AddrPort{}
+	for _, o := range s.Members {
+		if o.Name != self {
+			m[o.Name] = o.Address
+		}
+	}
+	return m
+}
+
+// run opens the net, which may have to wait for a predecessor, and drives the agent until leave.
+func (t *together) run() {
+	defer close(t.over)
+	cfg := fleetnet.Config{Cluster: t.base.Fleet.Cluster, Self: t.member.Name, Bind: t.member.Bind, Reach: t.member.Address,
+		Names: addresses(t.base, t.member.Name), Seeds: t.base.Fleet.Seeds, Log: t.log}
+	var net fleetnet.Net
+	for tries := 0; ; tries++ {
+		var err error
+		if net, err = fleetnet.Open(cfg); err == nil {
+			break
+		}
+		if tries%40 == 0 {
+			t.log.Warn("fleet not joined yet", "error", err, advice.Attr(err))
+		}
+		select {
+		case <-t.stop:
+			return
+		case <-time.After(bindAgain):
+		}
+	}
+	wall := func() int64 { return time.Now().UnixMicro() }
+	if failpoint.Enabled {
+		if d, err := time.ParseDuration(failpoint.Value("clock")); err == nil {
+			wall = func() int64 { return time.Now().Add(d).UnixMicro() }
+		}
+	}
+	digest, _ := t.reader.going()
+	a := agent.New(agent.Config{Self: t.member.Name, Zone: t.member.Zone, Program: Version(), Settings: digest, Roster: t.base.Fleet.RosterNumber,
+		Net: net, Board: &t.board, Parts: t.parts, Do: t.do, Log: t.log, Wall: wall, Window: t.window})
+	ran := make(chan struct{})
+	go func() { a.Run(); close(ran) }()
+	t.mu.Lock()
+	t.agent.Store(a)
+	a.State(t.state)
+	t.mu.Unlock()
+	digest, _ = t.reader.going() // the service may have read the file meanwhile
+	a.Goes(digest, t.base.Fleet.RosterNumber)
+	t.log.Info("fleet joined", "cluster", cfg.Cluster, "self", cfg.Self, "bind", cfg.Bind, "mono", agent.Monotonic())
+	<-t.stop
+	a.Stop()
+	<-ran
+}
+
+// leave ends all of it, once the last call has its answer.
+func (t *together) leave() {
+	close(t.stop)
+	<-t.over
+}
+
+// forward passes signals on to the service, and takes from them what the others have to know.
+func (t *together) forward(signals <-chan os.Signal) <-chan os.Signal {
+	to := make(chan os.Signal, cap(signals)+1)
+	t.hup = to
+	go func() {
+		for sig := range signals {
+			if sig == syscall.SIGTERM || sig == syscall.SIGINT {
+				t.now(fleet.Draining)
+			}
+			to <- sig
+		}
+	}()
+	return to
+}
+
+// loaded takes a file that was read anew: addresses, and what the parts go by.
+func (t *together) loaded(s config.Sidecar, digest uint64) {
+	a := t.agent.Load()
+	if a == nil || s.Fleet == nil {
+		return // members that are gone from a file are not forgotten by those that run
+	}
+	a.Name(addresses(s, t.member.Name))
+	a.Goes(digest, s.Fleet.RosterNumber)
+	for _, f := range t.onLoad {
+		f(s)
+	}
+}
+
+// post hands something to the parts, if there are any that run; false: it was dropped.
+func (t *together) post(f func(now int64, out *fleet.Out)) bool {
+	a := t.agent.Load()
+	return a != nil && a.Post(f)
+}
+
+// target is the body of the acts "apply" and "back": what a process is to go by.
+type target struct {
+	Change         uint64 `cbor:"1,keyasint"`
+	Settings       string `cbor:"2,keyasint,omitempty"`
+	SettingsDigest uint64 `cbor:"3,keyasint,omitempty"`
+	Program        string `cbor:"4,keyasint,omitempty"`
+	ProgramDigest  uint64 `cbor:"5,keyasint,omitempty"`
+}
+
+// do carries out an act of a part's, away from all loops.
+func (t *together) do(act fleet.Act) error {
+	switch act.What {
+	case "apply", "back":
+		var to target
+		_, decode := fleet.Coding()
+		if err := decode.Unmarshal(act.Body, &to); err != nil {
+			return &ApplyError{act.What, err}
+		}
+		return t.apply(to)
+	}
+	return &agent.ActError{What: act.What, Why: "no such act"}
+}
+
+// apply goes by the settings that a change names, as after SIGHUP.
+func (t *together) apply(to target) error {
+	t.doing.Lock()
+	defer t.doing.Unlock()
+	path := t.expand(to.Settings)
+	if to.Program != "" {
+		return &ApplyError{t.expand(to.Program), errProgram}
+	}
+	text, err := os.ReadFile(cmp.Or(path, t.reader.path))
+	if err != nil {
+		return &ApplyError{path, err}
+	}
+	digest := xxhash.Sum64(text)
+	if to.SettingsDigest != 0 && digest != to.SettingsDigest {
+		return &ApplyError{path, errDigest}
+	}
+	s, err := NewReader(cmp.Or(path, t.reader.path), nil).Settings()
+	if err != nil {
+		return &ApplyError{path, err}
+	}
+	if s.Application.Name != t.base.Application.Name {
+		return &ApplyError{path, errOther}
+	}
+	taken := make(chan error, 1)
+	was := t.reader.goBy(path, taken)
+	t.hup <- syscall.SIGHUP
+	select {
+	case err = <-taken:
+	case <-time.After(applyWithin):
+		err = errLate
+	}
+	if err != nil {
+		t.reader.goBy(was, nil)
+		return &ApplyError{path, err}
+	}
+	t.log.Info("goes by settings of a change", "change", to.Change, "path", cmp.Or(path, t.reader.path), "digest", digest)
+	return nil
+}
+
+// expand puts this process's names into a path.
+func (t *together) expand(path string) string {
+	return strings.NewReplacer("{member}", t.member.Name, "{application}", t.base.Application.Name).Replace(path)
+}
+
+// Version is the program's version, as the others see it.
+func Version() string {
+	if failpoint.Enabled {
+		if v := failpoint.Value("version"); v != "" {
+			return v
+		}
+	}
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			return s.Value[:min(len(s.Value), 12)]
+		}
+	}
+	return "unknown"
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -11,8 +11,11 @@
 	"os"
 	"slices"
 	"strings"
+	"sync"
 	"syscall"
 
+	"github.com/cespare/xxhash/v2"
+
 	"pewterwheel/decide"
 	"pewterwheel/internal/config"
 	"pewterwheel/internal/membership"
@@ -44,6 +47,31 @@
 	first config.Sidecar // as it started
 	zones []string       // numbers of zones, in order
 	last  *config.Document
+
+	fronts []Front                               // what stands before the routes, the outermost last
+	loaded func(s config.Sidecar, digest uint64) // told of each file that was read; nil: nobody is
+
+	mu      sync.Mutex
+	applied string       // the file of a change that this process goes by; empty: its own
+	taken   chan<- error // told once what came of the next Read
+	digest  uint64       // of the file that it goes by
+}
+
+// goBy sets the file of a change that the next Read takes the settings from; empty: the process's own. Taken is told what
+// came of it, and has room for that. It returns the one before.
+func (r *Reader) goBy(path string, taken chan<- error) (was string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	was = r.applied
+	r.applied, r.taken = path, taken
+	return was
+}
+
+// going tells by which settings the process goes: their digest, and the file of a change that they are from.
+func (r *Reader) going() (digest uint64, applied string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.digest, r.applied
 }
 
 // NewReader returns a reader of a file. Level is set as the file says; it may be nil, and then stays.
@@ -51,33 +79,58 @@
 	return &Reader{path: path, read: os.ReadFile, level: level, log: slog.New(slog.DiscardHandler)}
 }
 
-// load reads and checks the file.
-func (r *Reader) load() (*config.Document, config.Sidecar, error) {
-	text, err := r.read(r.path)
+// load reads and checks a file.
+func (r *Reader) load(path string) (d *config.Document, s config.Sidecar, digest uint64, err error) {
+	text, err := r.read(path)
 	if err != nil {
-		return nil, config.Sidecar{}, &UnreadableError{fmt.Errorf("could not read the configuration: %w", err)}
+		return nil, s, 0, &UnreadableError{fmt.Errorf("could not read the configuration: %w", err)}
 	}
-	result := config.Check([]config.File{{Name: r.path, Text: text}})
+	result := config.Check([]config.File{{Name: path, Text: text}})
 	if result.Findings.Errors() > 0 {
-		return nil, config.Sidecar{}, &FindingsError{result.Findings}
+		return nil, s, 0, &FindingsError{result.Findings}
 	}
-	s, err := result.Documents[0].Sidecar()
-	return result.Documents[0], s, err
+	s, err = result.Documents[0].Sidecar()
+	return result.Documents[0], s, xxhash.Sum64(text), err
 }
 
 // Settings gives what the file says, checked, without starting anything.
 func (r *Reader) Settings() (config.Sidecar, error) {
-	_, s, err := r.load()
+	_, s, _, err := r.load(r.path)
 	return s, err
 }
 
 // Read gives the service's configuration. On a reload it holds what can change while the program runs, and the rest as
 // it was at the start; a file that is wrong is an error, and changes nothing.
 func (r *Reader) Read() (service.Config, error) {
-	doc, s, err := r.load()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c, err := r.readAnew()
+	if r.taken != nil {
+		r.taken <- err
+		r.taken = nil
+	}
+	return c, err
+}
+
+// readAnew reads the process's own file, and that of a change if it goes by one. What concerns the fleet is in its own; one
+// that names no change any more is what the process goes by.
+func (r *Reader) readAnew() (service.Config, error) {
+	doc, s, digest, err := r.load(r.path)
 	if err != nil {
 		return service.Config{}, err
 	}
+	own := s
+	if s.Change == nil {
+		r.applied = ""
+	}
+	if r.applied != "" {
+		if doc, s, digest, err = r.load(r.applied); err != nil {
+			return service.Config{}, err
+		}
+	}
+	if r.digest = digest; r.loaded != nil {
+		r.loaded(own, digest)
+	}
 	if r.last == nil {
 		seed := make([]byte, 8)
 		if _, err := rand.Read(seed); err != nil {
@@ -185,7 +238,19 @@
 		if err != nil {
 			return nil, err
 		}
-		return route.New(routes, set, inner, seed)
+		routed, err := route.New(routes, set, inner, seed)
+		if err != nil || len(r.fronts) == 0 {
+			return routed, err
+		}
+		var names []string
+		for _, cl := range s.Classes {
+			names = append(names, cl.Name)
+		}
+		var front session.Decider = routed
+		for _, f := range r.fronts {
+			front = f(set, names, front)
+		}
+		return front, nil
 	}
 	return c
 }
@@ -196,9 +261,16 @@
 func (e *UnreadableError) Error() string { return e.Err.Error() }
 func (e *UnreadableError) Unwrap() error { return e.Err }
 
-// Serve checks a file and serves by it until SIGTERM. Format and level take the place of what the file says, unless they
-// are empty. What is logged goes to out.
-func Serve(path, format, level string, out io.Writer) error {
+// Options are the words of the command.
+type Options struct {
+	Path          string // of the sidecar's file
+	Format, Level string // of the log, in place of what the file says; empty: as it says
+	Member        string // which member of the fleet this process is; empty: none
+}
+
+// Serve checks a file and serves by it until SIGTERM. What is logged goes to out.
+func Serve(o Options, out io.Writer) error {
+	path, format, level := o.Path, o.Format, o.Level
 	signals := service.Signals()
 	var own slog.LevelVar
 	follow := &own
@@ -225,7 +297,17 @@
 		log = slog.New(slog.NewJSONHandler(out, options))
 	}
 	r.log = log
-	return service.Run(r.Read, signals, log)
+	t, err := join(r, s, o.Member, log)
+	if err != nil {
+		return err
+	}
+	if t == nil {
+		return service.Run(r.Read, signals, log)
+	}
+	forwarded := t.forward(signals)
+	go t.run()
+	defer t.leave()
+	return service.Run(r.Read, forwarded, log)
 }
 
 // enough tells whether this process may open as many descriptors as the file counts on. Guards against a sidecar that
