--- a/internal/lease/api.go
+++ b/internal/lease/api.go
@@ -21,7 +21,7 @@
 	// Held returns what this process holds now; false: it may not act.
 	Held(now int64, thing string) (Grant, bool)
 	// Write replaces the thing's record, while it is held; MaxRecord bytes at the most. It returns the write's number, and
-	// the write has happened for every later holder once Held shows that number.
+	// the write has happened for every later holder once Held shows that number, or a higher one, under the same fence.
 	Write(now int64, thing string, value []byte, out *fleet.Out) (uint64, error)
 	// Holder is who was last heard to hold a thing, and under which number. It is a hint: nobody may act on it.
 	Holder(thing string) (name string, fence uint64)
