--- /dev/null
+++ b/cmd/pewterwheel/members.go
@@ -0,0 +1,11 @@
+//go:build failpoints
+
+package main
+
+import (
+	"pewterwheel/internal/member"
+	"pewterwheel/internal/sidecar"
+)
+
+// A build for tests is one file that can do all.
+func init() { sidecar.Join = member.Join }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"os"
+	"path/filepath"
+	"syscall"
 
 	"github.com/spf13/cobra"
 
@@ -65,6 +67,9 @@
 		Long: "Checks the file with what \"config check\" uses and refuses to start on findings, with the same messages and\n" +
 			"exit code 1; then serves. SIGHUP reads the file anew, SIGTERM ends when all that was taken is answered.",
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if o.Member != "" && sidecar.Join == nil {
+				return &coded{Found, become(memberProgram)}
+			}
 			err := sidecar.Serve(o, cmd.ErrOrStderr())
 			var found *sidecar.FindingsError
 			var unread *sidecar.UnreadableError
@@ -87,6 +92,23 @@
 	return c
 }
 
+// memberProgram is the program for sidecars that speak with each other. It lies beside this one, and takes the same words.
+const memberProgram = "pewterwheel-member"
+
+// become turns this process into one of another program beside its own, with the same words and environment. It returns
+// only if that cannot be.
+func become(name string) error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(filepath.Dir(self), name)
+	if err := syscall.Exec(path, append([]string{path}, os.Args[1:]...), os.Environ()); err != nil {
+		return fmt.Errorf("%w (%s: %w)", sidecar.ErrProgram, path, err)
+	}
+	return nil
+}
+
 // Main carries out the program's own command line.
 func Main() {
 	if len(os.Args) == 1 { // the platform's way: nothing is built up for commands
--- a/internal/sidecar/fail_on.go
+++ b/internal/member/fail_on.go
@@ -1,6 +1,6 @@
 //go:build failpoints
 
-package sidecar
+package member
 
 import "pewterwheel/internal/fleet"
 
--- a/internal/sidecar/fleet.go
+++ b/internal/member/member.go
@@ -1,4 +1,7 @@
-package sidecar
+// Package member makes a sidecar take part in a fleet: it opens the net, runs the agent with the parts that decide over
+// several processes, puts what they need before the decider of calls, and carries out their acts. Only the program
+// pewterwheel-member has it.
+package member
 
 import (
 	"cmp"
@@ -25,11 +28,9 @@
 	"pewterwheel/internal/fleetnet"
 	"pewterwheel/internal/meter"
 	"pewterwheel/internal/session"
+	"pewterwheel/internal/sidecar"
 )
 
-// MemberVariable of the environment names the member that this process is, where no flag does.
-const MemberVariable = "PEWTERWHEEL_MEMBER"
-
 const (
 	// bindAgain is the pause before an address is tried again that another process still has: in a take-over the predecessor
 	// leaves the fleet when its last call is answered.
@@ -72,12 +73,9 @@
 	errOther   = errors.New("it is the file of another application")
 )
 
-// Front stands before the decider of a process.
-type Front func(set decide.Settings, classes []string, inner session.Decider) session.Decider
-
 // together is what one process has to do with others. It is made only where the file has a fleet and the process a name.
 type together struct {
-	reader *Reader
+	reader *sidecar.Reader
 	log    *slog.Logger
 	base   config.Sidecar // as at the start
 	member config.Member
@@ -95,16 +93,12 @@
 	doing sync.Mutex // one act on the settings at a time
 }
 
-// join makes what a process needs to take part, if it is to; nil: it serves alone.
-func join(r *Reader, s config.Sidecar, name string, log *slog.Logger) (*together, error) {
-	switch {
-	case s.Fleet == nil && name == "":
-		return nil, nil
-	case s.Fleet == nil:
+var _ sidecar.Company = (*together)(nil)
+
+// Join makes what a process needs to take part under a member's name. The error is a *MemberError.
+func Join(r *sidecar.Reader, s config.Sidecar, name string, log *slog.Logger) (sidecar.Company, error) {
+	if s.Fleet == nil {
 		return nil, &MemberError{name, "the file has no [fleet]"}
-	case name == "":
-		log.Info("serving alone: the file has a fleet, and no member is named")
-		return nil, nil
 	}
 	m, ok := s.Member(name)
 	if !ok {
@@ -112,8 +106,6 @@
 	}
 	t := &together{reader: r, log: log, base: s, member: m, state: fleet.Starting, stop: make(chan struct{}), over: make(chan struct{})}
 	t.makeParts()
-	r.fronts = append(r.fronts, t.measure) // the last stands in front of all others
-	r.loaded = t.loaded
 	return t, nil
 }
 
@@ -122,8 +114,8 @@
 	t.parts = append(t.parts, t.failParts()...)
 }
 
-// measure puts the meter in front.
-func (t *together) measure(set decide.Settings, classes []string, inner session.Decider) session.Decider {
+// Front puts what the parts need of the calls before a decider, the meter in front of all.
+func (t *together) Front(set decide.Settings, classes []string, inner session.Decider) session.Decider {
 	m := meter.New(set, classes, inner)
 	m.Started = func() { t.now(fleet.Serving) }
 	m.Also = func(put func(name string, n uint64, gauge bool)) {
@@ -163,8 +155,8 @@
 	return m
 }
 
-// run opens the net, which may have to wait for a predecessor, and drives the agent until leave.
-func (t *together) run() {
+// Run opens the net, which may have to wait for a predecessor, and drives the agent until Leave.
+func (t *together) Run() {
 	defer close(t.over)
 	cfg := fleetnet.Config{Cluster: t.base.Fleet.Cluster, Self: t.member.Name, Bind: t.member.Bind, Reach: t.member.Address,
 		Names: addresses(t.base, t.member.Name), Seeds: t.base.Fleet.Seeds, Log: t.log}
@@ -189,7 +181,7 @@
 			wall = func() int64 { return time.Now().Add(d).UnixMicro() }
 		}
 	}
-	digest, _ := t.reader.going()
+	digest, _ := t.reader.Going()
 	a := agent.New(agent.Config{Self: t.member.Name, Zone: t.member.Zone, Program: Version(), Settings: digest, Roster: t.base.Fleet.RosterNumber,
 		Net: net, Board: &t.board, Parts: t.parts, Do: t.do, Log: t.log, Wall: wall, Window: t.window})
 	ran := make(chan struct{})
@@ -198,7 +190,7 @@
 	t.agent.Store(a)
 	a.State(t.state)
 	t.mu.Unlock()
-	digest, _ = t.reader.going() // the service may have read the file meanwhile
+	digest, _ = t.reader.Going() // the service may have read the file meanwhile
 	a.Goes(digest, t.base.Fleet.RosterNumber)
 	t.log.Info("fleet joined", "cluster", cfg.Cluster, "self", cfg.Self, "bind", cfg.Bind, "mono", agent.Monotonic())
 	<-t.stop
@@ -206,14 +198,14 @@
 	<-ran
 }
 
-// leave ends all of it, once the last call has its answer.
-func (t *together) leave() {
+// Leave ends all of it, once the last call has its answer.
+func (t *together) Leave() {
 	close(t.stop)
 	<-t.over
 }
 
-// forward passes signals on to the service, and takes from them what the others have to know.
-func (t *together) forward(signals <-chan os.Signal) <-chan os.Signal {
+// Forward passes signals on to the service, and takes from them what the others have to know.
+func (t *together) Forward(signals <-chan os.Signal) <-chan os.Signal {
 	to := make(chan os.Signal, cap(signals)+1)
 	t.hup = to
 	go func() {
@@ -227,8 +219,8 @@
 	return to
 }
 
-// loaded takes a file that was read anew: addresses, and what the parts go by.
-func (t *together) loaded(s config.Sidecar, digest uint64) {
+// Loaded takes a file that was read anew: addresses, and what the parts go by.
+func (t *together) Loaded(s config.Sidecar, digest uint64) {
 	a := t.agent.Load()
 	if a == nil || s.Fleet == nil {
 		return // members that are gone from a file are not forgotten by those that run
@@ -277,7 +269,7 @@
 	if to.Program != "" {
 		return &ApplyError{t.expand(to.Program), errProgram}
 	}
-	text, err := os.ReadFile(cmp.Or(path, t.reader.path))
+	text, err := os.ReadFile(cmp.Or(path, t.reader.Path()))
 	if err != nil {
 		return &ApplyError{path, err}
 	}
@@ -285,7 +277,7 @@
 	if to.SettingsDigest != 0 && digest != to.SettingsDigest {
 		return &ApplyError{path, errDigest}
 	}
-	s, err := NewReader(cmp.Or(path, t.reader.path), nil).Settings()
+	s, err := sidecar.NewReader(cmp.Or(path, t.reader.Path()), nil).Settings()
 	if err != nil {
 		return &ApplyError{path, err}
 	}
@@ -293,7 +285,7 @@
 		return &ApplyError{path, errOther}
 	}
 	taken := make(chan error, 1)
-	was := t.reader.goBy(path, taken)
+	was := t.reader.GoBy(path, taken)
 	t.hup <- syscall.SIGHUP
 	select {
 	case err = <-taken:
@@ -301,10 +293,10 @@
 		err = errLate
 	}
 	if err != nil {
-		t.reader.goBy(was, nil)
+		t.reader.GoBy(was, nil)
 		return &ApplyError{path, err}
 	}
-	t.log.Info("goes by settings of a change", "change", to.Change, "path", cmp.Or(path, t.reader.path), "digest", digest)
+	t.log.Info("goes by settings of a change", "change", to.Change, "path", cmp.Or(path, t.reader.Path()), "digest", digest)
 	return nil
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -5,6 +5,7 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -48,8 +49,7 @@
 	zones []string       // numbers of zones, in order
 	last  *config.Document
 
-	fronts []Front                               // what stands before the routes, the outermost last
-	loaded func(s config.Sidecar, digest uint64) // told of each file that was read; nil: nobody is
+	company Company // nil: this process serves alone
 
 	mu      sync.Mutex
 	applied string       // the file of a change that this process goes by; empty: its own
@@ -57,9 +57,9 @@
 	digest  uint64       // of the file that it goes by
 }
 
-// goBy sets the file of a change that the next Read takes the settings from; empty: the process's own. Taken is told what
+// GoBy sets the file of a change that the next Read takes the settings from; empty: the process's own. Taken is told what
 // came of it, and has room for that. It returns the one before.
-func (r *Reader) goBy(path string, taken chan<- error) (was string) {
+func (r *Reader) GoBy(path string, taken chan<- error) (was string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	was = r.applied
@@ -67,8 +67,8 @@
 	return was
 }
 
-// going tells by which settings the process goes: their digest, and the file of a change that they are from.
-func (r *Reader) going() (digest uint64, applied string) {
+// Going tells by which settings the process goes: their digest, and the file of a change that they are from.
+func (r *Reader) Going() (digest uint64, applied string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.digest, r.applied
@@ -99,6 +99,9 @@
 	return s, err
 }
 
+// Path is the process's own file.
+func (r *Reader) Path() string { return r.path }
+
 // Read gives the service's configuration. On a reload it holds what can change while the program runs, and the rest as
 // it was at the start; a file that is wrong is an error, and changes nothing.
 func (r *Reader) Read() (service.Config, error) {
@@ -128,8 +131,8 @@
 			return service.Config{}, err
 		}
 	}
-	if r.digest = digest; r.loaded != nil {
-		r.loaded(own, digest)
+	if r.digest = digest; r.company != nil {
+		r.company.Loaded(own, digest)
 	}
 	if r.last == nil {
 		seed := make([]byte, 8)
@@ -239,18 +242,14 @@
 			return nil, err
 		}
 		routed, err := route.New(routes, set, inner, seed)
-		if err != nil || len(r.fronts) == 0 {
+		if err != nil || r.company == nil {
 			return routed, err
 		}
 		var names []string
 		for _, cl := range s.Classes {
 			names = append(names, cl.Name)
 		}
-		var front session.Decider = routed
-		for _, f := range r.fronts {
-			front = f(set, names, front)
-		}
-		return front, nil
+		return r.company.Front(set, names, routed), nil
 	}
 	return c
 }
@@ -261,6 +260,29 @@
 func (e *UnreadableError) Error() string { return e.Err.Error() }
 func (e *UnreadableError) Unwrap() error { return e.Err }
 
+// MemberVariable of the environment names the member that this process is, where no flag does.
+const MemberVariable = "PEWTERWHEEL_MEMBER"
+
+// ErrProgram is what a member's name gets from a program without what members share.
+var ErrProgram = errors.New("this program serves alone; members are served by pewterwheel-member, which lies beside it after make build")
+
+// Company is what a process has to do with the others of its fleet.
+type Company interface {
+	// Front makes what stands before the decider of this process. Classes are the names of the settings' classes.
+	Front(set decide.Settings, classes []string, inner session.Decider) session.Decider
+	// Loaded tells of each file of this process's own that was read, and the digest of the settings that it goes by.
+	Loaded(own config.Sidecar, digest uint64)
+	// Forward passes signals on, and may add some.
+	Forward(<-chan os.Signal) <-chan os.Signal
+	// Run serves until Leave, which returns once all of it has ended.
+	Run()
+	Leave()
+}
+
+// Join makes the company of a process of that member's name. It is set by the program that has it, and nil in others: the
+// platform's process holds none of the libraries for it.
+var Join func(r *Reader, s config.Sidecar, member string, log *slog.Logger) (Company, error)
+
 // Options are the words of the command.
 type Options struct {
 	Path          string // of the sidecar's file
@@ -297,17 +319,22 @@
 		log = slog.New(slog.NewJSONHandler(out, options))
 	}
 	r.log = log
-	t, err := join(r, s, o.Member, log)
-	if err != nil {
-		return err
-	}
-	if t == nil {
+	if o.Member == "" {
+		if s.Fleet != nil {
+			log.Info("serving alone: the file has a fleet, and no member is named")
+		}
 		return service.Run(r.Read, signals, log)
 	}
-	forwarded := t.forward(signals)
-	go t.run()
-	defer t.leave()
-	return service.Run(r.Read, forwarded, log)
+	if Join == nil {
+		return ErrProgram
+	}
+	if r.company, err = Join(r, s, o.Member, log); err != nil {
+		return err
+	}
+	signals = r.company.Forward(signals)
+	go r.company.Run()
+	defer r.company.Leave()
+	return service.Run(r.Read, signals, log)
 }
 
 // enough tells whether this process may open as many descriptors as the file counts on. Guards against a sidecar that
