--- a/internal/stage/api.go
+++ b/internal/stage/api.go
@@ -76,6 +76,8 @@
 	Neighbours func(a, b string) bool
 
 	Rules Rules
+
+	doctor doctor
 }
 
 // New returns the part of one process. It does nothing until Start.
