--- a/decide/api.go
+++ b/decide/api.go
@@ -90,6 +90,7 @@
 	Gone                         // the caller left: Call
 	Fired                        // a timer came due: Token
 	Checked                      // news of a server outside a call: Server, Took, Outcome, Load
+	Over                         // a call that stood has ended: Call; only to those who hear ends, never to a Node
 )
 
 // Outcome is how an attempt ended.
@@ -169,6 +170,7 @@
 	Outcome  Outcome
 	Final    bool // the caller has its answer
 	Full     bool // the processor was full
+	Busy     bool // Ended: the called number was busy, and Key names it
 	Load     Load
 	Token    uint64
 	Form     Form
--- a/internal/session/offices.go
+++ b/internal/session/offices.go
@@ -54,6 +54,19 @@
 	s.connect(office)
 }
 
+// EndHearer is a Decider that may want to be told of the end of each call that stood, by an event of kind decide.Over.
+// A Decider in front of others passes it on. Who does not hear ends gets no such event.
+type EndHearer interface {
+	HearsEnds() bool
+}
+
+// standOver tells the module that a call which had begun stands no more, if it hears of that.
+func (s *Session) standOver(call uint64) {
+	if h, ok := s.node.(EndHearer); ok && h.HearsEnds() {
+		s.event(decide.Event{Kind: decide.Over, Call: decide.CallID(call)})
+	}
+}
+
 // put writes an attempt's set-up to its office.
 func (s *Session) put(at *state.Attempt) {
 	at.Queued = false
@@ -98,8 +111,12 @@
 	c := at.Call
 	delete(at.Office.Out, c.ID)
 	c.Attempt = nil
-	s.event(decide.Event{Kind: decide.Ended, Call: decide.CallID(c.ID), Server: at.Office.ID, Attempt: at.N,
-		Took: max(0, when-at.Since), Outcome: o, Final: c.Answered, Full: m.Overload(), Load: m.Load()})
+	e := decide.Event{Kind: decide.Ended, Call: decide.CallID(c.ID), Server: at.Office.ID, Attempt: at.N,
+		Took: max(0, when-at.Since), Outcome: o, Final: c.Answered, Full: m.Overload(), Load: m.Load()}
+	if o == decide.Failed && m.Cause() == wire.CauseBusy {
+		e.Busy, e.Key = true, c.SetUp.Number
+	}
+	s.event(e)
 	if c.Answered {
 		s.forget(c)
 	}
@@ -189,12 +206,14 @@
 		Took: max(0, when-at.Since)})
 	if c.Answered {
 		s.forget(c)
+		s.standOver(c.ID)
 		s.endAt(o, c.ID, wire.CauseNormal)
 		return
 	}
 	s.answered(c)
 	s.forget(c)
 	if !s.tellAnswer(c.From, c.ID, description) {
+		s.standOver(c.ID)
 		s.endAt(o, c.ID, wire.CauseNormal) // nobody knows that it stands
 		return
 	}
@@ -256,6 +275,7 @@
 }
 
 func (s *Session) endStanding(st *state.Standing) {
+	s.standOver(st.ID)
 	delete(s.stands, st.ID)
 	st.From.Stands--
 	delete(st.Office.Standing, st.ID)
