Let the session code keep what pooling remembers of a call

A table of calls on pooling's side would need a bound and an eviction of its own. The call's own record carries it instead, by pointer. Nothing measured yet.

--- a/internal/pooling/api.go
+++ b/internal/pooling/api.go
@@ -39,18 +39,20 @@
 const (
 	Own   Lane = iota + 1 // the session's own at that office; no other session's messages go there. It stays as long as the session
 	Taken                 // one of the pool that no other call holds, for the length of this call
-	Any                   // any of the pool
+	Any                   // any of the pool; for what follows a set-up another than the set-up's, where there is one
 	Held                  // the one that the call's set-up went on; never returned for a set-up
 )
 
-// Call is what the session code keeps of a call and hands over with each question and each observation.
+// Call is what the session code keeps of a call, from its set-up to its end, and hands over with each question and each
+// observation. It is copied whole where the call moves (from the open call to the standing one).
 type Call struct {
 	ID      uint64
 	Client  ClientID  // of the connection that brought the set-up
 	Session SessionID // that connection
+	Office  uint64    // where its newest set-up goes or went: any number that two offices never share
 	Free    bool      // its class may be repeated freely
-	Tries   int       // set-ups of it that went to offices before this one
-	Lane    Lane      // what Lane returned for its newest set-up; 0: none has gone out
+	Lane    Lane      // what Lane returned for its newest set-up, kept here by Lane itself; 0: none has gone out
+	Memo    uint8     // pooling's own
 }
 
 // Happening is what the session code saw.
@@ -58,22 +60,22 @@
 
 // What the session code tells. The word in brackets says what goes with it.
 const (
-	CameSetUp   Happening = iota + 1 // a set-up was taken from the caller [text: its description]
-	CameAgain                        // a set-up came under an id in use, or used within what is remembered [on]
-	CameEnd                          // a release or a give-up came from the callers [on: the session that brought it]
-	Answered                         // the office answered: the call stands [text: its description]
-	Failed                           // the office refused the newest set-up [cause]
-	EndHeard                         // the office has heard a release of ours
-	EndUnheard                       // it has not, in time, while its connection stood
-	EndedThere                       // the office released a call that stood [cause]
-	Over                             // nothing more will be told of the call
-	LaneLost                         // the connection that the newest set-up went on is lost; no sign of anything
+	CameSetUp  Happening = iota + 1 // a set-up was taken from the caller [text: its description]
+	CameAgain                       // a set-up came under an id in use, or used within what is remembered [on]
+	CameEnd                         // a release or a give-up came from the callers [on: the session that brought it]
+	Answered                        // the office answered: the call stands [text: its description]
+	Failed                          // the office refused the newest set-up [cause]; not for one that we took back
+	EndHeard                        // the office has heard a release of ours
+	EndUnheard                      // it has not, in time, while its connection stood; the release is then sent again, by Lane
+	EndedThere                      // the office released a call that stood [cause]
+	Over                            // the call has ended for its caller, or never stood; comes once, last but for EndHeard
+	LaneLost                        // the connection that the newest set-up went on is lost; no sign of anything
 )
 
 // Observation is one happening with what goes with it. Text is only read before Observe returns.
 type Observation struct {
 	What  Happening
-	Call  Call
+	Call  *Call
 	On    SessionID // the session that brought the message; 0: as Call.Session
 	Cause byte      // of the release
 	Text  []byte
@@ -88,10 +90,10 @@
 	// Closed tells that it ended. Its own connections to offices may then be closed, once nothing is open on them.
 	Closed(now int64, c ClientID, s SessionID)
 	// Lane tells on which connection a message of a call goes. For a set-up the answer is Own, Taken or Any, and is kept in
-	// Call.Lane; for what follows it is Held, or Any while the set-up went on Any and the client's verdict still allows it:
+	// c.Lane by Lane itself; CameSetUp was observed before the first. For what follows it is Held, or Any while the set-up went on Any and the client's verdict still allows it:
 	// a call under way when a verdict falls stays on its connection. A repeat of a set-up that failed on a shared lane goes
 	// on Own.
-	Lane(now int64, c Call, k Kind) Lane
+	Lane(now int64, c *Call, k Kind) Lane
 	// Observe tells what was seen of a call.
 	Observe(now int64, o Observation)
 	// Round is called at the end of each round of the loop: what was observed is handed on, as far as there is room.
