Ask whether a session's own connections must stay

Once a verdict has let a client's calls go to the pool, connections of its sessions' own would stay open for nothing. Keep tells when they may be closed. Nothing measured yet.

--- a/internal/pooling/api.go
+++ b/internal/pooling/api.go
@@ -52,7 +52,8 @@
 	Office  uint64    // where its newest set-up goes or went: any number that two offices never share
 	Free    bool      // its class may be repeated freely
 	Lane    Lane      // what Lane returned for its newest set-up, kept here by Lane itself; 0: none has gone out
-	Memo    uint8     // pooling's own
+	Memo    uint8     // pooling's own, as the next
+	Refused uint64    // office that refused it on a shared lane; 0: none has
 }
 
 // Happening is what the session code saw.
@@ -89,10 +90,13 @@
 	Open(now int64, s SessionID, application, source string) ClientID
 	// Closed tells that it ended. Its own connections to offices may then be closed, once nothing is open on them.
 	Closed(now int64, c ClientID, s SessionID)
+	// Keep tells whether a session's own connections to offices must stay, though nothing is open on them. It is asked at a
+	// sweep; no: they may be closed, for the client's verdict has long let its calls go elsewhere.
+	Keep(now int64, c ClientID, s SessionID) bool
 	// Lane tells on which connection a message of a call goes. For a set-up the answer is Own, Taken or Any, and is kept in
-	// c.Lane by Lane itself; CameSetUp was observed before the first. For what follows it is Held, or Any while the set-up went on Any and the client's verdict still allows it:
-	// a call under way when a verdict falls stays on its connection. A repeat of a set-up that failed on a shared lane goes
-	// on Own.
+	// c.Lane by Lane itself; CameSetUp was observed before the first. For what follows it is Held, or Any for an End while
+	// the set-up went on Any and the client's verdict still allows it: a call under way when a verdict falls stays on its
+	// connection. A repeat of a set-up that was refused on a shared lane goes on Own.
 	Lane(now int64, c *Call, k Kind) Lane
 	// Observe tells what was seen of a call.
 	Observe(now int64, o Observation)
