--- /dev/null
+++ b/internal/pooling/bound.go
@@ -0,0 +1,71 @@
+package pooling
+
+import (
+	"math"
+
+	"gonum.org/v1/gonum/stat/distuv"
+)
+
+// The confidence that a verdict needs. All of it is about one client, and errors are the whole fleet's, for evidence is joined.
+const (
+	// alpha bounds the probability that a client is ever raised to a mode in which a set-up is refused more often than on its
+	// own connections by at least the least harm below. Epoch n spends alpha/2^n of it, so that tests begun anew never
+	// add up to more.
+	alpha = 1e-4
+	// beta bounds the probability that a test denies, for an epoch, a client whose set-ups are never refused more often.
+	beta = 1e-3
+	// leastPlain, leastMarked and leastEnd are the least harm that a test must find: how much more often plain set-ups, set-ups
+	// that repeat a token, and ends go wrong on shared connections. A habit that shows more seldom may be raised; it falls
+	// by the first witness then.
+	leastPlain, leastMarked, leastEnd = 1. / 400, 1. / 20, 1. / 50
+	// floorBase is the least that is taken for the part refused on own connections; lowBase is the confidence with which the
+	// true part is above what is gone by. A part taken too low makes raising slower and never easier.
+	floorBase, lowBase = 1e-4, 0.05
+	// demand is by how much more the likelihood must tell, for each sign that leaves a doubt.
+	demand = 2.302585092994046 // ln 10
+	// spare is how far above the bound the test is let go: a fall must not wait for all the good of a month to be outweighed.
+	spare = 2.0
+	// keep is the part of the bound under which a raised client falls.
+	keep = 0.6
+)
+
+// bound is what the test's log likelihood ratio must reach in an epoch. By Wald's inequality a client in which the harm is the
+// least one or more ever gets there with a probability of at most alpha/2^epoch.
+func bound(epoch uint32) float64 { return math.Log(1/alpha) + float64(max(epoch, 1))*math.Ln2 }
+
+// refuted is at or below what the test denies.
+var refuted = math.Log(beta)
+
+// Tally are the outcomes that a test goes by, decayed.
+type Tally struct{ Clean, Fault float64 }
+
+// base is the part of set-ups that is refused on own connections, from below.
+func base(own Tally) float64 {
+	if own.Fault < 1 || own.Clean+own.Fault < 1 {
+		return floorBase
+	}
+	return max(floorBase, distuv.Beta{Alpha: own.Fault, Beta: own.Clean + 1}.Quantile(lowBase))
+}
+
+// likelihood is the logarithm of how much better no harm at all explains the outcomes than the least harm does. Greater harm
+// explains clean outcomes worse still, so the bound holds for it too.
+func likelihood(t Tally, base, least float64) float64 {
+	harmed := min(base+least, 0.999)
+	return t.Clean*math.Log((1-base)/(1-harmed)) - t.Fault*math.Log(harmed/base)
+}
+
+// Trials. Until a verdict allows a mode, a share of the set-ups of classes that may be repeated freely is tried in it.
+const (
+	// harm bounds the part of a client's calls that trials may disturb: the share is such that share times the upper bound of
+	// faults (95%) is no more, within least and most share.
+	harm                  = 1. / 500
+	leastShare, mostShare = 1. / 64, 1. / 4
+	// after is how many calls of a session must have been answered on its own connections before one is tried.
+	after = 2
+)
+
+// share is the part of set-ups that may be tried after these outcomes.
+func share(t Tally) float64 {
+	n := t.Clean + t.Fault
+	return min(mostShare, max(leastShare, harm*n/(t.Fault+3)))
+}
--- /dev/null
+++ b/internal/pooling/signs.go
@@ -0,0 +1,169 @@
+package pooling
+
+import (
+	"strings"
+
+	"pewterwheel/internal/wire"
+)
+
+// Sign is one sort of observation. Numbers are spoken between versions and never given anew; those of a newer version are
+// kept and joined without being understood.
+type Sign uint8
+
+// The signs. A set-up is marked if it repeats a token that an office gave its session. Faults are refusals whose cause may
+// come of state that is not there (stateful); refusals for want of room are no sign of anything.
+const (
+	OwnClean Sign = iota + 1
+	OwnFault
+	OwnMarkedClean
+	OwnMarkedFault
+	CallClean
+	CallFault
+	CallMarkedClean
+	CallMarkedFault
+	MessageClean
+	MessageFault
+	MessageMarkedClean
+	MessageMarkedFault
+	EndClean
+	EndFault
+
+	Marked
+	Crossed
+	Overlapped
+	Serial
+	Again
+	Ended
+	OwnMissing
+
+	TokenBound
+	StateMissing
+	MissingShared
+	LeftBehind
+	IDClash
+	Refuted
+
+	lastSign = Refuted
+)
+
+// MaxSigns bounds the numbers of signs, this version's and later ones'.
+const MaxSigns = 40
+
+// Modes is a set of modes that are denied.
+type Modes uint8
+
+// The sets that a witness may deny. Who is denied a mode is denied every mode above it.
+const (
+	DenyMessage Modes = 1 << ByMessage
+	DenyCall    Modes = 1<<ByCall | DenyMessage
+)
+
+// Effect is what a sign does to a verdict.
+type Effect uint8
+
+// The effects.
+const (
+	Test    Effect = iota + 1 // counts in the sequential test of a mode
+	Base                      // tells how often the same is refused on connections of its own
+	Demand                    // raises what the test must show; never lowers it below the stated confidence
+	Witness                   // denies at once, whatever else was seen
+)
+
+// Meaning is a sign's line in the table.
+type Meaning struct {
+	Sign   Sign
+	Name   string
+	Effect Effect
+	Denies Modes
+	Proves string
+}
+
+// Signs lists every sign of this version with what it proves.
+var Signs = []Meaning{
+	{OwnClean, "own-clean", Base, 0, "nothing about sharing; how often a plain set-up is answered on a connection of its own"},
+	{OwnFault, "own-fault", Base, 0, "that such refusals also come without sharing"},
+	{OwnMarkedClean, "own-marked-clean", Base, 0, "that the office takes its token where it gave it"},
+	{OwnMarkedFault, "own-marked-fault", Base, 0, "that marked set-ups are refused also where the token was given"},
+	{CallClean, "call-clean", Test, 0, "that this plain set-up needed nothing of its session's connection"},
+	{CallFault, "call-fault", Test, 0, "by itself nothing; more of them than own-faults, that sharing by call does harm"},
+	{CallMarkedClean, "call-marked-clean", Test, 0, "that this token is good on other connections too"},
+	{CallMarkedFault, "call-marked-fault", Test, 0, "as call-fault, of set-ups that repeat a token"},
+	{MessageClean, "message-clean", Test, 0, "that this plain set-up bore other calls on its connection"},
+	{MessageFault, "message-fault", Test, 0, "by itself nothing; more of them than own-faults, that sharing by message does harm"},
+	{MessageMarkedClean, "message-marked-clean", Test, 0, "as message-clean, of set-ups that repeat a token"},
+	{MessageMarkedFault, "message-marked-fault", Test, 0, "as message-fault, of set-ups that repeat a token"},
+	{EndClean, "end-clean", Test, 0, "that the office took this call's end on another connection"},
+	{EndFault, "end-fault", Test, 0, "that an end stayed unheard on another connection and was heard on the set-up's; once, it may have been late"},
+	{Marked, "marked", Demand, 0, "that the session repeats tokens: marked set-ups must pass a test of their own"},
+	{Crossed, "crossed", Demand, 0, "that the client itself sends a call's end on another connection: it keeps calls apart by id"},
+	{Overlapped, "overlapped", Demand, 0, "that the session does not wait for one call before it begins the next"},
+	{Serial, "serial", Demand, 0, "nothing; where it is always so, that order cannot be ruled out: more is demanded"},
+	{Again, "again", Demand, 0, "that ids are used again: more is demanded of sharing by message"},
+	{Ended, "ended", Demand, 0, "that the client ends calls: ends must pass a test of their own before they go by message"},
+	{OwnMissing, "own-missing", Base, 0, "that set-ups lack something also on connections of their own: missing-shared proves nothing then"},
+	{TokenBound, "token-bound", Witness, DenyCall,
+		"that a token is good on its own connection alone: a shared one refused the set-up, its own took the same"},
+	{StateMissing, "state-missing", Witness, DenyCall,
+		"that the office keeps state on the connection: a shared one missed what its own did not, for the same set-up"},
+	{MissingShared, "missing-shared", Witness, DenyCall,
+		"as state-missing, where no own connection has ever missed anything in a long time"},
+	{LeftBehind, "left-behind", Witness, DenyCall,
+		"that a shared connection kept what the session needs: its own misses something soon after, and never did before"},
+	{IDClash, "id-clash", Witness, DenyMessage, "that two sessions use one id at a time: on one connection the office could not tell them apart"},
+	{Refuted, "refuted", Witness, DenyCall, "that the sequential test came down on the other side, with its stated error"},
+}
+
+// String is the sign's name.
+func (s Sign) String() string {
+	if s >= 1 && s <= lastSign {
+		return Signs[s-1].Name
+	}
+	return "later-sign"
+}
+
+// String names a mode as the log does.
+func (m Mode) String() string {
+	return [...]string{"none", "by-session", "by-call", "by-message"}[min(m, ByMessage)]
+}
+
+// Known is the set of signs that this version knows, as a mask.
+const Known uint64 = 1<<(lastSign+1) - 2
+
+// highest is the highest mode that a set of denials leaves.
+func (d Modes) highest() Mode {
+	switch {
+	case d&(1<<ByCall) != 0:
+		return BySession
+	case d&(1<<ByMessage) != 0:
+		return ByCall
+	}
+	return ByMessage
+}
+
+// whole denies what is above each denied mode, too.
+func (d Modes) whole() Modes {
+	if d&(1<<ByCall) != 0 {
+		d |= DenyCall
+	}
+	return d
+}
+
+// String names what is denied.
+func (d Modes) String() string {
+	var names []string
+	for m := ByCall; m <= ByMessage; m++ {
+		if d&(1<<m) != 0 {
+			names = append(names, m.String())
+		}
+	}
+	return strings.Join(names, "+")
+}
+
+// stateful tells whether a refusal of this cause may come of state that is not on the connection.
+func stateful(cause byte) bool {
+	switch cause {
+	case wire.CauseNormal, wire.CauseBusy, wire.CauseFull, wire.CauseCut, wire.CauseCongestion, wire.CauseMoot:
+		return false
+	}
+	return true
+}
