--- a/internal/pooling/bound.go
+++ b/internal/pooling/bound.go
@@ -14,12 +14,13 @@
 	alpha = 1e-4
 	// beta bounds the probability that a test denies, for an epoch, a client whose set-ups are never refused more often.
 	beta = 1e-3
-	// leastPlain, leastMarked and leastEnd are the least harm that a test must find: how much more often plain set-ups, set-ups
-	// that repeat a token, and ends go wrong on shared connections. A habit that shows more seldom may be raised; it falls
-	// by the first witness then.
-	leastPlain, leastMarked, leastEnd = 1. / 400, 1. / 20, 1. / 50
-	// floorBase is the least that is taken for the part refused on own connections; lowBase is the confidence with which the
-	// true part is above what is gone by. A part taken too low makes raising slower and never easier.
+	// leastHarm is the least harm that a test must find, as a part of all the client's calls that go wrong on shared connections
+	// and not on own ones. A habit that shows more seldom may be raised; it falls by the first witness then. Calls that repeat
+	// a token, and ends, have tests of their own, in which the same harm is a larger part of fewer; mostMarked and mostEnd
+	// bound what such a test may pass over.
+	leastHarm, mostMarked, mostEnd = 1. / 400, 1. / 10, 1. / 50
+	// floorBase is the least that is taken for the part refused on own connections; what is gone by is its lower end (lowBase) for
+	// raising, and its upper one for denying. A part taken too low makes raising slower and never easier.
 	floorBase, lowBase = 1e-4, 0.05
 	// demand is by how much more the likelihood must tell, for each sign that leaves a doubt.
 	demand = 2.302585092994046 // ln 10
@@ -39,12 +40,16 @@
 // Tally are the outcomes that a test goes by, decayed.
 type Tally struct{ Clean, Fault float64 }
 
-// base is the part of set-ups that is refused on own connections, from below.
-func base(own Tally) float64 {
-	if own.Fault < 1 || own.Clean+own.Fault < 1 {
-		return floorBase
+// bases are the lower and the upper end of the part of set-ups that is refused on own connections.
+func bases(own Tally) (low, high float64) {
+	if own.Clean+own.Fault < 1 {
+		return floorBase, floorBase
 	}
-	return max(floorBase, distuv.Beta{Alpha: own.Fault, Beta: own.Clean + 1}.Quantile(lowBase))
+	high = distuv.Beta{Alpha: own.Fault + 1, Beta: own.Clean + 1e-9}.Quantile(1 - lowBase)
+	if own.Fault >= 1 {
+		low = distuv.Beta{Alpha: own.Fault, Beta: own.Clean + 1}.Quantile(lowBase)
+	}
+	return max(floorBase, low), max(floorBase, high)
 }
 
 // likelihood is the logarithm of how much better no harm at all explains the outcomes than the least harm does. Greater harm
@@ -54,18 +59,21 @@
 	return t.Clean*math.Log((1-base)/(1-harmed)) - t.Fault*math.Log(harmed/base)
 }
 
+// least is the least harm of a test that sees this part of the client's calls.
+func least(seen, most float64) float64 { return min(max(leastHarm/max(seen, 1e-9), leastHarm), most) }
+
 // Trials. Until a verdict allows a mode, a share of the set-ups of classes that may be repeated freely is tried in it.
 const (
 	// harm bounds the part of a client's calls that trials may disturb: the share is such that share times the upper bound of
 	// faults (95%) is no more, within least and most share.
-	harm                  = 1. / 500
-	leastShare, mostShare = 1. / 64, 1. / 4
+	harm                             = 1. / 500
+	leastShare, mostShare, mostMarks = 1. / 64, 1. / 4, 1. / 2
 	// after is how many calls of a session must have been answered on its own connections before one is tried.
 	after = 2
 )
 
-// share is the part of set-ups that may be tried after these outcomes.
-func share(t Tally) float64 {
+// share is the part of set-ups that may be tried after these outcomes, of a sort that is this part of all.
+func share(t Tally, seen, most float64) float64 {
 	n := t.Clean + t.Fault
-	return min(mostShare, max(leastShare, harm*n/(t.Fault+3)))
+	return min(most, max(leastShare, harm/max(seen, 1e-9)*n/(t.Fault+3)))
 }
--- a/internal/pooling/part.go
+++ b/internal/pooling/part.go
@@ -48,7 +48,6 @@
 type doctor struct {
 	witnessLoses bool // a witness counts as one more fault
 	noDecay      bool // what was clean once stays so
-	noBound      bool // a fixed count of clean set-ups
 	cutRaises    bool // a process that is cut off goes on as ever
 	adds         bool // joining adds instead of taking the greatest
 	trusts       bool // what others counted before counts in full
@@ -65,6 +64,9 @@
 	Complain func(error)
 	// Signs is the mask of the signs that are gone by; 0: all that this version knows. For tests of versions.
 	Signs uint64
+	// Fixed raises after so many clean outcomes, whatever the test says, and no test denies; 0: the test decides. It is the
+	// baseline that measurements hold the test against, and nothing to be run.
+	Fixed float64
 }
 
 // peer is another process.
@@ -330,7 +332,7 @@
 		}
 		if next := c.mode + 1; calm && next <= c.ev.Denied.highest() {
 			v.Trial = next
-			plain, marked := share(p.tally(&c.all, next, false)), share(p.tally(&c.all, next, true))
+			plain, marked := share(p.tally(&c.all, next, false), 1, mostShare), share(p.tally(&c.all, next, true), seen(&c.all, Marked), mostMarks)
 			v.Share, v.Marked = part(plain), part(marked)
 		}
 		t.verdicts[c.key] = v
@@ -338,6 +340,11 @@
 	p.cfg.Loop.table.Store(t)
 }
 
+// seen is how large a part of a client's calls bore a sign.
+func seen(of *[MaxSigns]float64, s Sign) float64 {
+	return min(1, of[s]/max(1, of[Serial]+of[Overlapped]))
+}
+
 // part is a share of 2^32.
 func part(share float64) uint32 { return uint32(share * math.MaxUint32) }
 
@@ -591,30 +598,30 @@
 
 // test is one of those that a mode must pass.
 type test struct {
-	what        string
-	likely      float64
-	clean       float64
+	likely  float64 // that there is no harm, with the base taken low
+	against float64 // the same with the base taken high
+	Tally
 	base, least float64
-	takes       Sign // where those clean outcomes are counted that belong to this mode alone
+	counted     Sign // where those clean outcomes are counted that belong to this mode alone
+}
+
+func newTest(t, own Tally, least float64, counted Sign) test {
+	low, high := bases(own)
+	return test{likelihood(t, low, least), likelihood(t, high, least), t, low, least, counted}
 }
 
 // tests are those that a mode must pass for what has been seen of a client. A kind of message that never came needs none.
 func (p *Part) tests(of *[MaxSigns]float64, m Mode) []test {
-	on := func(s Sign) Sign {
-		if m == ByMessage {
-			return s + MessageClean - CallClean
-		}
-		return s
+	plain, marked := CallClean, CallMarkedClean
+	if m == ByMessage {
+		plain, marked = MessageClean, MessageMarkedClean
 	}
-	plain, b := p.tally(of, m, false), base(Tally{of[OwnClean], of[OwnFault]})
-	t := []test{{"plain", likelihood(plain, b, leastPlain), plain.Clean, b, leastPlain, on(CallClean)}}
+	t := []test{newTest(p.tally(of, m, false), Tally{of[OwnClean], of[OwnFault]}, leastHarm, plain)}
 	if of[Marked] > 0 {
-		marked, b := p.tally(of, m, true), base(Tally{of[OwnMarkedClean], of[OwnMarkedFault]})
-		t = append(t, test{"marked", likelihood(marked, b, leastMarked), marked.Clean, b, leastMarked, on(CallMarkedClean)})
+		t = append(t, newTest(p.tally(of, m, true), Tally{of[OwnMarkedClean], of[OwnMarkedFault]}, least(seen(of, Marked), mostMarked), marked))
 	}
 	if m == ByMessage && of[Ended] > 0 {
-		ends := Tally{of[EndClean], of[EndFault]}
-		t = append(t, test{"ends", likelihood(ends, floorBase, leastEnd), ends.Clean, floorBase, leastEnd, EndClean})
+		t = append(t, newTest(Tally{of[EndClean], of[EndFault]}, Tally{}, least(seen(of, Ended), mostEnd), EndClean))
 	}
 	return t
 }
@@ -643,7 +650,7 @@
 	for m := ByCall; m <= c.ev.Denied.highest(); m++ {
 		need, pass := p.needed(c, of, m), true
 		for _, t := range p.tests(of, m) {
-			if t.likely <= refuted && of == &c.all && !p.doctor.noBound {
+			if t.against <= refuted && of == &c.all && p.cfg.Fixed == 0 {
 				modes := DenyCall
 				if m == ByMessage {
 					modes = DenyMessage
@@ -654,8 +661,8 @@
 			if c.opinion >= m {
 				c.clip(t, need+spare)
 				pass = pass && t.likely >= keep*need
-			} else if p.doctor.noBound {
-				pass = pass && t.clean >= 100
+			} else if p.cfg.Fixed > 0 {
+				pass = pass && t.Clean >= p.cfg.Fixed
 			} else {
 				pass = pass && t.likely >= need && p.calm(now)
 			}
@@ -730,12 +737,13 @@
 		if fault(Sign(s)) && c.mode == BySession {
 			continue
 		}
+		least := 0.
 		switch Sign(s) {
 		case Marked, Ended, Again:
-			continue // what was seen of the client's ways stays for the epoch
+			least = 1 // what was seen of the client's ways is not forgotten within the epoch
 		}
-		c.all[s] *= f
-		c.own[s] *= f
+		c.all[s] = max(min(c.all[s], least), c.all[s]*f)
+		c.own[s] = max(min(c.own[s], least), c.own[s]*f)
 	}
 }
 
@@ -746,7 +754,7 @@
 		return
 	}
 	over := (t.likely - most) / math.Log((1-t.base)/(1-min(t.base+t.least, 0.999)))
-	c.all[t.takes] -= min(over, c.all[t.takes])
+	c.all[t.counted] -= min(over, c.all[t.counted])
 }
 
 // Message implements fleet.Part.
