Tests of pooling: the join's laws, each guard and its lack, bounds, partitions

Each guard needs a test that fails without it, for its own reason. Nine mutations are caught; the join is held to its laws by random evidence; the loop's side allocates nothing.

--- a/internal/pooling/part.go
+++ b/internal/pooling/part.go
@@ -122,6 +122,7 @@
 	life    uint64
 	started int64
 	ticked  int64
+	wasCalm bool
 	woke    int64 // until when nobody is raised because the part stood still
 	next    int64
 	clients map[uint64]*client
@@ -292,6 +293,10 @@
 	}
 	p.ticked, p.next = now, now+tick
 	p.isCut(now)
+	if c := p.calm(now); c != p.wasCalm { // whom this held back, or would have, is weighed anew
+		p.wasCalm, p.dirty = c, true
+		p.staleAll()
+	}
 	p.drain(now, out)
 	p.sweep(now)
 	p.step(now, out)
--- /dev/null
+++ b/internal/pooling/pooling_test.go
@@ -0,0 +1,503 @@
+package pooling_test
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"pewterwheel/internal/fleet"
+	"pewterwheel/internal/fleetsim/populations"
+	"pewterwheel/internal/pooling"
+	"pewterwheel/internal/wire"
+)
+
+type tester interface {
+	Helper()
+	Fatalf(format string, args ...any)
+}
+
+func same[T any](t tester, want, got T, why ...string) {
+	t.Helper()
+	if d := cmp.Diff(want, got); d != "" {
+		t.Fatalf("%s (-want +got):\n%s", why, d)
+	}
+}
+
+func holds(t tester, ok bool) {
+	t.Helper()
+	if !ok {
+		t.Fatalf("does not hold")
+	}
+}
+
+// ---- the join ----
+
+func drawEvidence(t *rapid.T, name string) pooling.Evidence {
+	e := pooling.Evidence{Epoch: rapid.Uint32Range(1, 3).Draw(t, name+".epoch")}
+	if rapid.Bool().Draw(t, name+".denied") {
+		e.Denied = rapid.SampledFrom([]pooling.Modes{pooling.DenyMessage, pooling.DenyCall}).Draw(t, name+".modes")
+		e.By = rapid.SampledFrom([]pooling.Sign{pooling.TokenBound, pooling.IDClash, 37}).Draw(t, name+".by")
+	}
+	for i := range rapid.IntRange(0, 3).Draw(t, name+".n") {
+		r := pooling.Record{Process: fmt.Sprint("p", i), Life: rapid.Uint64Range(1, 2).Draw(t, "life"),
+			Opinion: pooling.Mode(rapid.IntRange(0, 3).Draw(t, "opinion")), Said: rapid.Uint32Range(0, 2).Draw(t, "said"),
+			Signs: rapid.SampledFrom([]uint64{pooling.Known, 1 << 38, 3}).Draw(t, "signs")}
+		for _, s := range []pooling.Sign{pooling.CallClean, pooling.CallFault, 38} {
+			r.Counts[s] = rapid.Uint32Range(0, 5).Draw(t, "count")
+		}
+		var one pooling.Evidence
+		one.Epoch = e.Epoch
+		one.Records = []pooling.Record{r}
+		e.Join(&one)
+	}
+	return e
+}
+
+func joined(how string, es ...pooling.Evidence) pooling.Evidence {
+	sum := pooling.Evidence{}
+	for i := range es {
+		sum.JoinDoctored(&es[i], how)
+	}
+	return sum
+}
+
+// laws tells which law of a join does not hold for three pieces of evidence; empty: all do.
+func laws(how string, a, b, c pooling.Evidence) string {
+	ab, bc := joined(how, a, b), joined(how, b, c)
+	switch {
+	case !cmp.Equal(joined(how, a, b), joined(how, b, a)):
+		return "commutes"
+	case !cmp.Equal(joined(how, ab, c), joined(how, a, bc)):
+		return "associates"
+	case !cmp.Equal(joined(how, ab, a, b, ab), ab):
+		return "idempotent"
+	}
+	for _, e := range []pooling.Evidence{a, b} {
+		if e.Epoch == ab.Epoch && e.Denied&^ab.Denied != 0 {
+			return "a witness wins"
+		}
+	}
+	return ""
+}
+
+func TestJoinIsASemilattice(t *testing.T) {
+	broken := ""
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := drawEvidence(t, "a"), drawEvidence(t, "b"), drawEvidence(t, "c")
+		same(t, "", laws("", a, b, c))
+		if broken == "" {
+			broken = laws("join adds", a, b, c)
+		}
+	})
+	same(t, "idempotent", broken, "a join that adds is caught for repeating, and for nothing else first")
+}
+
+// ---- one process, step by step ----
+
+// one is a loop with its part, and the view that it is alone or with others.
+type one struct {
+	now  int64
+	loop *pooling.Loop
+	part *pooling.Part
+	out  fleet.Out
+	view fleet.View
+	ids  uint64
+	sess pooling.SessionID
+	c    pooling.ClientID
+}
+
+var key = pooling.Key("app", "127.0.0.1")
+
+func newOne(t testing.TB, how string, cfg pooling.Config, others ...fleet.Member) *one {
+	o := &one{now: 1, loop: pooling.NewLoop(7)}
+	cfg.Self, cfg.Loop = "self", o.loop
+	var err error
+	o.part, err = pooling.New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pooling.Doctor(o.part, o.loop, how)
+	o.part.Start(o.now, &o.out)
+	o.view.Members = append(others, fleet.Member{Entry: fleet.Entry{Name: "self", Incarnation: 5, State: fleet.Serving}})
+	o.pass(11_000_000, 100_000)
+	o.c = o.session()
+	return o
+}
+
+func (o *one) session() pooling.ClientID {
+	o.sess++
+	return o.loop.Open(o.now, o.sess, "app", "127.0.0.1")
+}
+
+func (o *one) pass(d, step int64) {
+	for end := o.now + d; o.now < end; {
+		o.now += step
+		o.loop.Round(o.now)
+		o.part.View(o.now, &o.view, &o.out)
+		o.part.Tick(o.now, &o.out)
+	}
+}
+
+func (o *one) call(free bool) *pooling.Call {
+	o.ids++
+	c := &pooling.Call{ID: o.ids, Client: o.c, Session: o.sess, Office: 1, Free: free}
+	o.see(c, pooling.CameSetUp, 0, "ask")
+	return c
+}
+
+func (o *one) see(c *pooling.Call, what pooling.Happening, cause byte, text string) {
+	o.loop.Observe(o.now, pooling.Observation{What: what, Call: c, Cause: cause, Text: []byte(text)})
+}
+
+// answered plays a call that is answered and over, and tells its lane.
+func (o *one) answered(free bool) pooling.Lane {
+	c := o.call(free)
+	lane := o.loop.Lane(o.now, c, pooling.SetUp)
+	o.see(c, pooling.Answered, 0, "done")
+	o.see(c, pooling.Over, 0, "")
+	return lane
+}
+
+// tried plays answered calls until one was tried on a shared lane; that one is returned, without its answer.
+func (o *one) tried(t testing.TB) *pooling.Call {
+	for range 100_000 {
+		c := o.call(true)
+		if o.loop.Lane(o.now, c, pooling.SetUp) != pooling.Own {
+			return c
+		}
+		o.see(c, pooling.Answered, 0, "done")
+		o.see(c, pooling.Over, 0, "")
+		if o.ids%1000 == 0 {
+			o.pass(100_000, 100_000)
+		}
+	}
+	t.Fatal("nothing was tried")
+	return nil
+}
+
+// ---- what a guard is for, and that its test fails without it ----
+
+// evidence makes a process of others tell clean outcomes, or any other counts, of the client.
+func (o *one) evidence(t testing.TB, from string, signs uint64, opinion pooling.Mode, counts map[pooling.Sign]uint32) {
+	b := pooling.Body(key, signs, 9, uint32(opinion)+1, opinion, counts)
+	holds(t, len(b) <= fleet.MaxBody)
+	o.part.Message(o.now, fleet.Message{Kind: fleet.Pooling, From: from, To: "self", Body: b}, &o.out)
+	o.pass(200_000, 100_000)
+}
+
+func serving(name string) fleet.Member {
+	return fleet.Member{Entry: fleet.Entry{Name: name, Incarnation: 1, State: fleet.Serving}}
+}
+
+func (o *one) mode() pooling.Mode { return o.loop.Tabled(key).Mode }
+
+// enough is more clean outcomes than a raise by call needs at full trust, and fewer than at half of it.
+var enough = map[pooling.Sign]uint32{pooling.CallClean: uint32(1.5 * pooling.Bound(1) / pooling.LeastHarm), pooling.Overlapped: 1000}
+
+var guards = []struct {
+	name string
+	// play returns why the guard is not there; empty: it is.
+	play func(t testing.TB, how string) string
+}{
+	{"witness does not win", func(t testing.TB, how string) string {
+		o := newOne(t, how, pooling.Config{})
+		c := o.tried(t)
+		o.see(c, pooling.Failed, wire.CauseMissing, "")
+		if o.loop.Lane(o.now, c, pooling.SetUp) != pooling.Own {
+			return "the repeat was shared"
+		}
+		o.see(c, pooling.Answered, 0, "done")
+		for i := range 3000 {
+			if o.answered(true) != pooling.Own {
+				return "shared after a witness"
+			}
+			if i == 1000 {
+				o.pass(1_000_000, 100_000)
+			}
+		}
+		return ""
+	}},
+	{"no decay", func(t testing.TB, how string) string {
+		o := newOne(t, how, pooling.Config{}, serving("other"))
+		o.loop.Count(o.c, pooling.CallClean, enough[pooling.CallClean])
+		o.loop.Count(o.c, pooling.Overlapped, 1000)
+		o.pass(1_000_000, 100_000)
+		same(t, pooling.ByCall, o.mode())
+		o.pass(2*pooling.HalfLife, 1_900_000)
+		if o.mode() != pooling.BySession {
+			return "raised by what was seen two half-lives ago"
+		}
+		return ""
+	}},
+	{"cut-off process raises", func(t testing.TB, how string) string {
+		o := newOne(t, how, pooling.Config{}, serving("a"), serving("b"))
+		o.view.Members[0].Suspect, o.view.Members[1].Suspect = true, true
+		o.pass(200_000, 100_000)
+		o.loop.Count(o.c, pooling.CallClean, enough[pooling.CallClean])
+		o.loop.Count(o.c, pooling.Overlapped, 1000)
+		o.pass(20_000_000, 100_000)
+		if o.mode() != pooling.BySession {
+			return "raised while cut off"
+		}
+		o.view.Members[0].Suspect, o.view.Members[1].Suspect = false, false
+		o.pass(5_000_000, 100_000)
+		same(t, pooling.ByCall, o.mode(), "it goes on once it hears the others again")
+		return ""
+	}},
+	{"join adds", func(t testing.TB, how string) string {
+		o := newOne(t, how, pooling.Config{}, serving("other"))
+		for range 4 { // the same message again and again
+			o.evidence(t, "other", pooling.Known, pooling.BySession, map[pooling.Sign]uint32{pooling.CallClean: 1000})
+		}
+		if n := o.part.All(key, pooling.CallClean); n > 500 {
+			return "what came again counted again"
+		}
+		return ""
+	}},
+	{"new process trusts fully", func(t testing.TB, how string) string {
+		o := newOne(t, how, pooling.Config{}, serving("other"))
+		o.evidence(t, "other", pooling.Known, pooling.ByCall, enough)
+		if o.mode() != pooling.BySession {
+			return "raised at once by what others saw before"
+		}
+		return ""
+	}},
+	{"calls under way move", func(t testing.TB, how string) string {
+		for _, mode := range []pooling.Mode{pooling.ByCall, pooling.ByMessage} {
+			o := newOne(t, how, pooling.Config{})
+			o.loop.SetTable(math.MaxInt64, pooling.Verdict{Epoch: 1, Mode: mode})
+			c := o.call(true)
+			lane := o.loop.Lane(o.now, c, pooling.SetUp)
+			same(t, map[pooling.Mode]pooling.Lane{pooling.ByCall: pooling.Taken, pooling.ByMessage: pooling.Any}[mode], lane)
+			o.see(c, pooling.Answered, 0, "done")
+			o.loop.SetTable(math.MaxInt64, pooling.Verdict{Epoch: 1, Mode: pooling.BySession})
+			for _, k := range []pooling.Kind{pooling.End, pooling.GiveUp, pooling.Heard} {
+				if o.loop.Lane(o.now, c, k) != pooling.Held {
+					return "moved at the fall"
+				}
+			}
+		}
+		return ""
+	}},
+	{"any class is tried", func(t testing.TB, how string) string {
+		o := newOne(t, how, pooling.Config{})
+		o.loop.SetTable(math.MaxInt64, pooling.Verdict{Epoch: 1, Mode: pooling.BySession, Trial: pooling.ByCall, Share: math.MaxUint32, Marked: math.MaxUint32})
+		for range 50 {
+			if o.answered(false) != pooling.Own {
+				return "a class that may not be repeated was tried"
+			}
+		}
+		o.answered(true)
+		same(t, pooling.Taken, o.answered(true))
+		return ""
+	}},
+	{"lower verdict not taken", func(t testing.TB, how string) string {
+		later := uint64(1)<<38 | pooling.Known
+		o := newOne(t, how, pooling.Config{}, serving("newer"))
+		o.evidence(t, "newer", later, pooling.BySession, map[pooling.Sign]uint32{38: 7})
+		o.loop.Count(o.c, pooling.CallClean, enough[pooling.CallClean])
+		o.loop.Count(o.c, pooling.Overlapped, 1000)
+		o.pass(1_000_000, 100_000)
+		same(t, pooling.ByCall, o.part.Opinion(key))
+		if o.mode() != pooling.BySession {
+			return "above the verdict of a version that knows more signs"
+		}
+		o.evidence(t, "newer", later, pooling.ByCall, nil)
+		same(t, pooling.ByCall, o.mode(), "both agree")
+		return ""
+	}},
+	{"no confidence bound", func(t testing.TB, how string) string {
+		cfg := pooling.Config{}
+		if how != "" {
+			cfg.Fixed = 100
+		}
+		r := rand.New(rand.NewPCG(5, 6))
+		for i := range 12 {
+			h := populations.Draw(r, populations.Prepared, 256)
+			h.Rate, h.Guarded = 1./256, 0
+			c := populations.Config{Processes: 2, Sessions: 3, Every: 500, Delay: 30_000, Seed: uint64(i),
+				Part: func(_ int, p *pooling.Config) { p.Fixed = cfg.Fixed }}
+			if populations.One(c, h, 20_000).Wrong {
+				return "an unsafe client was raised"
+			}
+		}
+		return ""
+	}},
+}
+
+func TestGuardsAreThereAndMissed(t *testing.T) {
+	why := map[string]string{"witness does not win": "shared after a witness", "no decay": "raised by what was seen two half-lives ago",
+		"cut-off process raises": "raised while cut off", "join adds": "what came again counted again",
+		"new process trusts fully": "raised at once by what others saw before", "calls under way move": "moved at the fall",
+		"any class is tried":      "a class that may not be repeated was tried",
+		"lower verdict not taken": "above the verdict of a version that knows more signs", "no confidence bound": "an unsafe client was raised"}
+	same(t, len(why), len(guards))
+	for _, g := range guards {
+		t.Run(g.name, func(t *testing.T) {
+			same(t, "", g.play(t, ""))
+			same(t, why[g.name], g.play(t, g.name), "caught for its own reason")
+		})
+	}
+}
+
+// ---- several processes ----
+
+func world(n int, seed uint64, h populations.Habit) *populations.World {
+	return populations.New(populations.Config{Processes: n, Sessions: 6, Every: 500, Delay: 30_000, Loss: 0.05, Seed: seed}, h)
+}
+
+// TestWitnessInAPartition: one process is cut off when a witness comes; it is told once it can be, and raises nobody before.
+func TestWitnessInAPartition(t *testing.T) {
+	h := populations.Habit{Way: populations.Token, Rate: 0.5, Cause: wire.CauseMissing}
+	w := world(5, 3, h)
+	w.Procs[4].Cut = true
+	w.Idle(1_000_000)
+	w.Play(20_000, func() bool { return w.First != 0 })
+	holds(t, w.First != 0)
+	w.Idle(2_000_000)
+	for _, p := range w.Procs[:4] {
+		holds(t, p.Witness != 0)
+	}
+	same(t, int64(0), w.Procs[4].Witness)
+	w.Procs[4].Cut = false
+	w.Idle(5_000_000)
+	holds(t, w.Procs[4].Witness != 0)
+	same(t, w.Procs[0].Part.Digest(), w.Procs[4].Part.Digest())
+
+	// A process that starts now learns of it before it tries anybody.
+	w.Start(2)
+	w.Idle(3_000_000)
+	holds(t, w.Procs[2].Witness != 0)
+	harmed := w.Harm.Tried + w.Harm.Raised
+	w.Play(20_000, nil)
+	same(t, harmed, w.Harm.Tried+w.Harm.Raised)
+}
+
+// TestStoppedProcessWakes: its table has run out, whatever it said.
+func TestStoppedProcessWakes(t *testing.T) {
+	o := newOne(t, "", pooling.Config{}, serving("other"))
+	o.loop.Count(o.c, pooling.CallClean, enough[pooling.CallClean])
+	o.loop.Count(o.c, pooling.Overlapped, 1000)
+	o.pass(1_000_000, 100_000)
+	same(t, pooling.Taken, o.answered(true))
+	o.now += pooling.TableFor + 1_000_000
+	same(t, pooling.Own, o.answered(true), "before the part has moved")
+	o.part.Tick(o.now, &o.out)
+	same(t, pooling.Own, o.answered(true), "and right after")
+	o.pass(3_000_000, 100_000)
+	same(t, pooling.Taken, o.answered(true))
+}
+
+// ---- bounds ----
+
+// TestBounds: garbage, more clients than fit, more denials than an entry holds, a ring that nobody empties.
+func TestBounds(t *testing.T) {
+	o := newOne(t, "", pooling.Config{}, serving("other"))
+	rapid.Check(t, func(t *rapid.T) {
+		b := rapid.SliceOfN(rapid.Byte(), 0, fleet.MaxBody+8).Draw(t, "body")
+		o.part.Message(o.now, fleet.Message{From: "other", Body: b}, &o.out)
+		o.part.View(o.now, &fleet.View{Members: []fleet.Member{{Entry: fleet.Entry{Name: "other", Parts: map[fleet.Kind][]byte{fleet.Pooling: b}}}}}, &o.out)
+	})
+	for i := range uint32(3000) {
+		s := o.loop.Open(o.now, pooling.SessionID(1000+i), fmt.Sprint("app", i), "127.0.0.1")
+		o.loop.Count(s, pooling.StateMissing, 1)
+		if i%100 == 0 {
+			o.pass(100_000, 100_000)
+		}
+	}
+	o.pass(1_000_000, 100_000)
+	figures := map[string]uint64{}
+	o.part.Figures(func(name string, n uint64, _ bool) { figures[name] = n })
+	same(t, uint64(pooling.MaxClients), figures["pooling.clients"])
+	holds(t, figures["pooling.clients_refused"] != 0)
+	holds(t, len(o.out.Parts[fleet.Pooling]) <= fleet.MaxBody)
+	for _, m := range o.out.Send {
+		holds(t, len(m.Body) <= fleet.MaxBody)
+	}
+
+	l := pooling.NewLoop(1)
+	for i := range pooling.SessionID(1000) { // far more clients than the ring has slots
+		l.Count(l.Open(1, i+1, fmt.Sprint("app", i), "127.0.0.1"), pooling.OwnClean, 3)
+	}
+	n := uint32(0)
+	for now := int64(100_000); now < 1_000_000; now += 100_000 {
+		l.Round(now)
+		l.Round(now + 50_000)
+		n += l.Drained()[pooling.OwnClean]
+	}
+	same(t, uint32(3000), n, "nothing is lost while the ring is full")
+}
+
+// TestLoopAllocatesNothing: what the session code calls for each message.
+func TestLoopAllocatesNothing(t *testing.T) {
+	o := newOne(t, "", pooling.Config{})
+	text := bytes.Repeat([]byte("token-0123456789 "), 8)
+	c := &pooling.Call{Client: o.c, Session: o.sess, Office: 1, Free: true}
+	same(t, 0, testing.AllocsPerRun(1000, func() {
+		*c = pooling.Call{Client: o.c, Session: o.sess, Office: 1, Free: true}
+		o.loop.Observe(o.now, pooling.Observation{What: pooling.CameSetUp, Call: c, Text: text})
+		o.loop.Lane(o.now, c, pooling.SetUp)
+		o.loop.Observe(o.now, pooling.Observation{What: pooling.Answered, Call: c, Text: text})
+		o.loop.Lane(o.now, c, pooling.End)
+		o.loop.Observe(o.now, pooling.Observation{What: pooling.Over, Call: c})
+		o.now += 30_000
+		o.loop.Round(o.now)
+	}))
+}
+
+func BenchmarkLoop(b *testing.B) {
+	o := newOne(b, "", pooling.Config{})
+	text := []byte("v=0 o=caller 4711 s=call token-0123456789 m=audio 4000")
+	c := &pooling.Call{}
+	for b.Loop() {
+		*c = pooling.Call{Client: o.c, Session: o.sess, Office: 1, Free: true}
+		o.loop.Observe(o.now, pooling.Observation{What: pooling.CameSetUp, Call: c, Text: text})
+		o.loop.Lane(o.now, c, pooling.SetUp)
+		o.loop.Observe(o.now, pooling.Observation{What: pooling.Answered, Call: c, Text: text})
+		o.loop.Lane(o.now, c, pooling.End)
+		o.loop.Observe(o.now, pooling.Observation{What: pooling.Over, Call: c})
+	}
+}
+
+// TestSigns: the table has a line for each sign, in order, and a witness denies something, nothing else does.
+func TestSigns(t *testing.T) {
+	for i, m := range pooling.Signs {
+		same(t, pooling.Sign(i+1), m.Sign)
+		same(t, m.Effect == pooling.Witness, m.Denies != 0, m.Name)
+	}
+	for _, e := range pooling.Errors {
+		holds(t, e.Advice() != "")
+	}
+}
+
+// TestConfidence: the test keeps its stated error where the harm is just the least that it must find. It is played without
+// any witness, on outcomes alone.
+func TestConfidence(t *testing.T) {
+	const runs, least = 20_000, 1. / 20
+	r := rand.New(rand.NewPCG(11, 12))
+	raised := 0
+	for range runs {
+		var tally pooling.Tally
+		for range 3000 {
+			if r.Float64() < 1e-4+least {
+				tally.Fault++
+			} else {
+				tally.Clean++
+			}
+			if l := pooling.Likelihood(tally, 1e-4, least); l >= math.Log(100) {
+				raised++
+				break
+			} else if l < -50 {
+				break
+			}
+		}
+	}
+	// 1 in 100 is the bound here, so that 20,000 runs can tell; 5 deviations of counting are allowed for.
+	holds(t, float64(raised) < runs/100.+5*math.Sqrt(runs/100.))
+	holds(t, raised > runs/400) // the bound is not kept by raising nobody
+}
