--- a/internal/fleetsim/populations/populations.go
+++ b/internal/fleetsim/populations/populations.go
@@ -107,6 +107,11 @@
 	Told     int // of Tried and Raised: set up after this process had been reached by a witness that denies the mode
 }
 
+func (h *Harm) add(o Harm) {
+	h.Tried, h.Raised, h.Late, h.LateTold = h.Tried+o.Tried, h.Raised+o.Raised, h.Late+o.Late, h.LateTold+o.LateTold
+	h.Before, h.Told = h.Before+o.Before, h.Told+o.Told
+}
+
 type session struct {
 	id     pooling.SessionID
 	at     int // process
--- a/internal/pooling/loop.go
+++ b/internal/pooling/loop.go
@@ -245,6 +245,9 @@
 	return cl.verdict
 }
 
+// Verdict is what a client goes by now, by its key; for staff and measurements. It may be asked from any thread.
+func (l *Loop) Verdict(key uint64) Verdict { return l.table.Load().Of(key) }
+
 // mode is the highest mode that a client may go by.
 func (l *Loop) mode(cl *loopClient, v Verdict) Mode {
 	m := max(v.Mode, BySession)
@@ -552,11 +555,11 @@
 func next(text []byte, from, to *int) bool {
 	text = text[:min(len(text), mostText)]
 	for i := *to; i < len(text); {
-		for i < len(text) && !letter(text[i]) {
+		for i < len(text) && !letters[text[i]] {
 			i++
 		}
 		*from = i
-		for i < len(text) && letter(text[i]) {
+		for i < len(text) && letters[text[i]] {
 			i++
 		}
 		if *to = i; i-*from >= leastWord {
@@ -566,6 +569,10 @@
 	return false
 }
 
-func letter(c byte) bool {
-	return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '-' || c == '_'
-}
+// letters are those that a token may be of.
+var letters = func() (l [256]bool) {
+	for c := range l {
+		l[c] = c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '-' || c == '_'
+	}
+	return l
+}()
