Keep what belongs to an office's connection in a value of its own

Pooling by observed sessions needs further connections to an office, and everything that was said of its one connection stood in the office itself. It is now a state.Lane, of which an office has its main one; attempts and standing calls name the lane that they are on.

--- a/internal/session/callers.go
+++ b/internal/session/callers.go
@@ -286,13 +286,13 @@
 		s.good(from)
 		s.over[m.Call] = s.now
 		s.endStanding(st)
-		s.endAt(st.Office, m.Call, cause)
+		s.endAt(st.On, m.Call, cause)
 	} else if _, known := s.over[m.Call]; !known {
 		// A call of before our own start: any office may have it, and those that have not pass it over.
 		s.over[m.Call] = s.now
 		for _, o := range s.offices.All() {
 			if o.State != decide.Removed {
-				s.endAt(o, m.Call, cause)
+				s.endAt(&o.Lane, m.Call, cause)
 			}
 		}
 		s.odd(from, 1)
--- a/internal/session/journal.go
+++ b/internal/session/journal.go
@@ -135,13 +135,13 @@
 	for _, o := range s.offices.All() {
 		if o.State != decide.Up {
 			// Set-ups that wait for a connect would reach it after the grace: they never left.
-			s.unreached(o)
+			s.unreached(&o.Lane)
 		}
 	}
 	for _, o := range c.Offices {
 		// A connection before the first set-up: releases of calls of before our start come on it.
 		if known := s.offices.Get(o.ID); known.State != decide.Removed && len(s.offices.All()) <= maxEager {
-			s.connect(known)
+			s.connect(&known.Lane)
 		}
 	}
 }
--- a/internal/session/offices.go
+++ b/internal/session/offices.go
@@ -42,7 +42,7 @@
 			Outcome: decide.Unsent, Final: c.Answered, Load: decide.NoLoad()})
 		return
 	}
-	at := c.Try(office, s.now)
+	at := c.Try(&office.Lane, s.now)
 	c.Attempt = at
 	s.setTimer(c.Deadline, state.Timer{Kind: state.TimerAttempt, ID: c.ID, N: int32(at.N)})
 	if office.Conn != nil {
@@ -51,7 +51,7 @@
 	}
 	at.Queued = true
 	office.Queue = append(office.Queue, at)
-	s.connect(office)
+	s.connect(&office.Lane)
 }
 
 // put writes an attempt's set-up to its office.
@@ -59,10 +59,10 @@
 	at.Queued = false
 	// An earlier attempt there may have been given up unheard. Guards against taking the end of the call that
 	// stands for an answer to that.
-	delete(at.Office.Ended, at.Call.ID)
-	o := at.Office
-	o.Out[at.Call.ID] = at
-	box := s.officeBox(o)
+	l := at.On
+	delete(l.To.Ended, at.Call.ID)
+	l.Out[at.Call.ID] = at
+	box := s.officeBox(l)
 	out, err := at.Call.SetUp.AppendOnward(box.Bytes, at.Call.ID, at.Call.Deadline-s.now)
 	if err != nil {
 		at.Failed = true // it is too long for any office
@@ -73,17 +73,17 @@
 }
 
 // officeBox is where messages for an office are written.
-func (s *Session) officeBox(o *state.Office) *state.Outbox {
-	if len(o.Box.Bytes) > maxBox {
-		s.writeOffice(o)
+func (s *Session) officeBox(l *state.Lane) *state.Outbox {
+	if len(l.Box.Bytes) > maxBox {
+		s.writeOffice(l)
 	}
-	return s.box(o, &o.Box)
+	return s.box(l, &l.Box)
 }
 
 // toOffice releases a call at an office, if it is connected.
-func (s *Session) toOffice(o *state.Office, call uint64, cause byte) {
-	if o.Conn != nil {
-		box := s.officeBox(o)
+func (s *Session) toOffice(l *state.Lane, call uint64, cause byte) {
+	if l.Conn != nil {
+		box := s.officeBox(l)
 		box.Bytes = wire.AppendRelease(box.Bytes, call, cause, 0)
 	}
 }
@@ -96,9 +96,9 @@
 // endedWith also tells what the office said of itself, and when its message came.
 func (s *Session) endedWith(at *state.Attempt, o decide.Outcome, m wire.Message, when int64) {
 	c := at.Call
-	delete(at.Office.Out, c.ID)
+	delete(at.On.Out, c.ID)
 	c.Attempt = nil
-	s.event(decide.Event{Kind: decide.Ended, Call: decide.CallID(c.ID), Server: at.Office.ID, Attempt: at.N,
+	s.event(decide.Event{Kind: decide.Ended, Call: decide.CallID(c.ID), Server: at.On.To.ID, Attempt: at.N,
 		Took: max(0, when-at.Since), Outcome: o, Final: c.Answered, Full: m.Overload(), Load: m.Load()})
 	if c.Answered {
 		s.forget(c)
@@ -108,68 +108,69 @@
 // giveUp ends an attempt from our side. The office is told; an answer that crosses this finds nobody.
 func (s *Session) giveUp(at *state.Attempt, o decide.Outcome) {
 	if at.Queued {
-		queue := at.Office.Queue
+		queue := at.On.Queue
 		for i := range queue {
 			if queue[i] == at {
-				at.Office.Queue = append(queue[:i:i], queue[i+1:]...)
+				at.On.Queue = append(queue[:i:i], queue[i+1:]...)
 				break
 			}
 		}
 	} else {
-		s.endAt(at.Office, at.Call.ID, wire.CauseNormal)
+		s.endAt(at.On, at.Call.ID, wire.CauseNormal)
 	}
 	s.ended(at, o)
 }
 
 // endAt releases a call at an office, or gives its set-up up there, on this connection or the next.
-func (s *Session) endAt(o *state.Office, call uint64, cause byte) {
+func (s *Session) endAt(l *state.Lane, call uint64, cause byte) {
+	o := l.To
 	if o.State == decide.Removed {
 		return
 	}
 	if len(o.Ended) < maxEndings {
 		o.Ended[call] = state.Ending{Cause: cause, At: s.now}
 	}
-	if o.Conn != nil {
-		s.toOffice(o, call, cause)
+	if l.Conn != nil {
+		s.toOffice(l, call, cause)
 	} else {
 		s.redial(o)
 	}
 }
 
-func (s *Session) fromOffice(o *state.Office, m wire.Message, at int64) {
+func (s *Session) fromOffice(l *state.Lane, m wire.Message, at int64) {
 	if m.Bad {
 		// Where a parameter does not fit, nothing behind it on this connection can be relied on.
 		s.Counters[state.BadIn]++
-		s.drop(o.Conn, errSpoilt)
+		s.drop(l.Conn, errSpoilt)
 		return
 	}
 	switch m.Type {
 	case wire.TypeAnswer:
-		s.officeAnswered(o, m, at)
+		s.officeAnswered(l, m, at)
 	case wire.TypeRelease:
-		s.officeReleased(o, m, at)
+		s.officeReleased(l, m, at)
 	case wire.TypeHeard:
-		delete(o.Ended, m.Call)
+		delete(l.To.Ended, m.Call)
 	case wire.TypeGroup:
 		// Comes unasked, again and again; the module draws by the free lines.
-		if o.Told != 0 {
-			s.pulsed(at - o.Told)
+		if l.Told != 0 {
+			s.pulsed(at - l.Told)
 		}
-		o.Told = at
-		s.event(decide.Event{Kind: decide.Checked, Server: o.ID, Outcome: decide.OK, Load: m.Load()})
+		l.Told = at
+		s.event(decide.Event{Kind: decide.Checked, Server: l.To.ID, Outcome: decide.OK, Load: m.Load()})
 	case wire.TypeProgress, wire.TypeTested:
 	default:
 		s.Counters[state.BadIn]++
 	}
 }
 
-func (s *Session) officeAnswered(o *state.Office, m wire.Message, when int64) {
-	at := o.Out[m.Call]
+func (s *Session) officeAnswered(l *state.Lane, m wire.Message, when int64) {
+	o, at := l.To, l.Out[m.Call]
 	if at == nil {
 		_, ended := o.Ended[m.Call]
-		if st := s.stands[m.Call]; !ended && (st == nil || st.Office != o) {
+		if st := s.stands[m.Call]; !ended && (st == nil || st.On.To != o) {
 			s.Counters[state.BadIn]++
-			s.endAt(o, m.Call, wire.CauseNormal) // it stands there for nobody
+			s.endAt(l, m.Call, wire.CauseNormal) // it stands there for nobody
 		}
 		return
 	}
@@ -178,24 +179,24 @@
 		// The call stands there, with nothing that its caller could use. Guards against passing on as served
 		// what no office made. officeLost releases it on the next connection.
 		s.Counters[state.BadIn]++
-		s.drop(o.Conn, errSpoilt)
+		s.drop(l.Conn, errSpoilt)
 		return
 	}
 	s.Counters[state.AnswersBack]++
 	c := at.Call
-	delete(o.Out, c.ID)
+	delete(l.Out, c.ID)
 	c.Attempt = nil
 	s.event(decide.Event{Kind: decide.Begun, Call: decide.CallID(c.ID), Server: o.ID, Attempt: at.N,
 		Took: max(0, when-at.Since)})
 	if c.Answered {
 		s.forget(c)
-		s.endAt(o, c.ID, wire.CauseNormal)
+		s.endAt(l, c.ID, wire.CauseNormal)
 		return
 	}
 	s.answered(c)
 	s.forget(c)
 	if !s.tellAnswer(c.From, c.ID, description) {
-		s.endAt(o, c.ID, wire.CauseNormal) // nobody knows that it stands
+		s.endAt(l, c.ID, wire.CauseNormal) // nobody knows that it stands
 		return
 	}
 	s.Counters[state.AnswersOut]++
@@ -203,7 +204,7 @@
 	s.good(c.From)
 	delete(s.over, c.ID)
 	st := s.pool.Standing()
-	*st = state.Standing{ID: c.ID, Office: o, From: c.From, Since: s.now}
+	*st = state.Standing{ID: c.ID, On: l, From: c.From, Since: s.now}
 	s.stands[c.ID], o.Standing[c.ID] = st, st
 	c.From.Stands++
 }
@@ -212,10 +213,10 @@
 func (s *Session) unheard(call uint64) {
 	if st := s.stands[call]; st != nil {
 		s.Counters[state.AnswersOut]--
-		o := st.Office
+		l := st.On
 		s.over[call] = s.now
 		s.endStanding(st)
-		s.endAt(o, call, wire.CauseNormal)
+		s.endAt(l, call, wire.CauseNormal)
 	}
 }
 
@@ -226,11 +227,11 @@
 }{wire.CauseFull: {decide.Rejected, state.FullBack}, wire.CauseMoot: {decide.Unsent, state.Moot},
 	wire.CauseCut: {decide.Cut, state.Resets}}
 
-func (s *Session) officeReleased(o *state.Office, m wire.Message, when int64) {
-	box := s.officeBox(o)
+func (s *Session) officeReleased(l *state.Lane, m wire.Message, when int64) {
+	box := s.officeBox(l)
 	box.Bytes = wire.AppendHeard(box.Bytes, m.Call)
-	cause := m.Cause()
-	if at := o.Out[m.Call]; at != nil {
+	o, cause := l.To, m.Cause()
+	if at := l.Out[m.Call]; at != nil {
 		ended, ok := outcomes[cause]
 		if !ok {
 			ended.o, ended.c = decide.Failed, state.ErrorsBack
@@ -244,7 +245,7 @@
 		return
 	}
 	if st := s.stands[m.Call]; st != nil {
-		if st.Office != o {
+		if st.On.To != o {
 			return // it was given up here and stands elsewhere: its end there is what counts
 		}
 		s.endStanding(st)
@@ -258,7 +259,7 @@
 func (s *Session) endStanding(st *state.Standing) {
 	delete(s.stands, st.ID)
 	st.From.Stands--
-	delete(st.Office.Standing, st.ID)
+	delete(st.On.To.Standing, st.ID)
 	s.pool.Ended(st)
 }
 
@@ -279,35 +280,37 @@
 
 // ---- connections to offices ----
 
-func (s *Session) connect(o *state.Office) {
-	if o.Conn == nil && o.Dialling == 0 {
-		o.Dialling = s.dial(o.Address.String(), o)
+func (s *Session) connect(l *state.Lane) {
+	if l.Conn == nil && l.Dialling == 0 {
+		l.Dialling = s.dial(l.To.Address.String(), l)
 	}
 }
 
-func (s *Session) officeOpen(o *state.Office, conn state.Conn) {
-	o.Dialling, o.Backoff, o.Lost, o.In, o.Unreached = 0, 0, 0, nil, false
+func (s *Session) officeOpen(l *state.Lane, conn state.Conn) {
+	o := l.To
+	l.Dialling, o.Backoff, o.Lost, l.In, o.Unreached = 0, 0, 0, nil, false
 	if o.State == decide.Removed {
 		_ = conn.Close() // nothing was written to it
-		s.unreached(o)
+		s.unreached(l)
 		return
 	}
-	o.Conn, o.Opened, o.Heard, o.Told = conn, s.now, s.now, 0
-	s.roles[conn] = o
+	l.Conn, l.Opened, l.Heard, l.Told = conn, s.now, s.now, 0
+	s.roles[conn] = l
 	for call, e := range inOrder(o.Ended) {
-		s.toOffice(o, call, e.Cause)
+		s.toOffice(l, call, e.Cause)
 	}
-	queue := o.Queue
-	o.Queue = nil
+	queue := l.Queue
+	l.Queue = nil
 	for _, at := range queue {
 		s.put(at)
 	}
 }
 
-func (s *Session) officeUnreached(o *state.Office, err error) {
-	o.Dialling, o.Unreached = 0, true
+func (s *Session) officeUnreached(l *state.Lane, err error) {
+	o := l.To
+	l.Dialling, o.Unreached = 0, true
 	s.log.Warn("office unreached", "office", o.ID, "error", err)
-	s.unreached(o)
+	s.unreached(l)
 	within := int64(lostFor)
 	if errors.Is(err, errDialTime) {
 		within = silentFor
@@ -322,9 +325,9 @@
 }
 
 // unreached ends the set-ups that wait for a connection: nothing of them has been sent.
-func (s *Session) unreached(o *state.Office) {
-	queue := o.Queue
-	o.Queue = nil
+func (s *Session) unreached(l *state.Lane) {
+	queue := l.Queue
+	l.Queue = nil
 	for _, at := range queue {
 		s.Counters[state.Unreached]++
 		s.ended(at, decide.Unreached)
@@ -333,11 +336,12 @@
 
 // officeLost ends what was open on a connection. Calls that stand outlive it: the office sends their releases
 // on the next one, which is opened at once.
-func (s *Session) officeLost(o *state.Office, err error) {
-	o.Conn, o.In = nil, nil
-	s.writeOffice(o) // nobody is there: what was to be written has not left
-	s.log.Warn("office connection ended", "office", o.ID, "out", len(o.Out), "standing", len(o.Standing), "error", err)
-	for _, at := range inOrder(o.Out) {
+func (s *Session) officeLost(l *state.Lane, err error) {
+	o := l.To
+	l.Conn, l.In = nil, nil
+	s.writeOffice(l) // nobody is there: what was to be written has not left
+	s.log.Warn("office connection ended", "office", o.ID, "out", len(l.Out), "standing", len(o.Standing), "error", err)
+	for _, at := range inOrder(l.Out) {
 		if at.Failed {
 			s.Counters[state.Unreached]++
 			s.ended(at, decide.Unreached)
@@ -363,13 +367,13 @@
 }
 
 // mute tells whether a connection brings nothing any more.
-func (s *Session) mute(o *state.Office) bool {
+func (s *Session) mute(l *state.Lane) bool {
 	if s.pulse == 0 {
 		return false
 	}
-	due := o.Told + s.pulse
-	overdue := o.Told != 0 && o.Heard < due && s.now >= due+max(lateTold, s.pulse/latePart)
-	return overdue || s.now-o.Heard >= max(officeSilence, s.pulse+s.pulse/2)
+	due := l.Told + s.pulse
+	overdue := l.Told != 0 && l.Heard < due && s.now >= due+max(lateTold, s.pulse/latePart)
+	return overdue || s.now-l.Heard >= max(officeSilence, s.pulse+s.pulse/2)
 }
 
 // watchOffices ends connections to offices on which a message has begun and does not end, or nothing comes any more.
@@ -383,7 +387,7 @@
 		case len(o.In) > 0 && s.now-o.Partial >= wholeWithin:
 			s.Counters[state.BadIn]++
 			s.drop(o.Conn, errPartial)
-		case len(o.Out)+len(o.Standing) > 0 && !stoodStill && s.mute(o):
+		case len(o.Out)+len(o.Standing) > 0 && !stoodStill && s.mute(&o.Lane):
 			s.drop(o.Conn, errMute)
 		}
 	}
@@ -392,7 +396,7 @@
 // redial connects again where calls stand or releases wait; else the next set-up does.
 func (s *Session) redial(o *state.Office) {
 	if o.State != decide.Removed && (len(o.Standing) > 0 || len(o.Ended) > 0) && s.now >= o.NotUntil {
-		s.connect(o)
+		s.connect(&o.Lane)
 	}
 }
 
@@ -416,7 +420,7 @@
 		return
 	}
 	if o.Conn != nil {
-		s.writeOffice(o)
+		s.writeOffice(&o.Lane)
 		delete(s.roles, o.Conn)
 		_ = o.Conn.Close() // its end is what is asked for
 		o.Conn = nil
@@ -430,5 +434,5 @@
 		delete(s.dials, o.Dialling)
 		o.Dialling = 0
 	}
-	s.unreached(o)
+	s.unreached(&o.Lane)
 }
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -160,7 +160,7 @@
 	acts    []decide.Action
 	out     []byte
 	params  []wire.Param // of the message that is being read
-	dirty   []any        // *state.Caller and *state.Office that have something to be written
+	dirty   []any        // *state.Caller and *state.Lane that have something to be written
 	pool    state.Calls
 	scratch []*state.Caller
 	door    admit.Door
@@ -183,7 +183,7 @@
 
 	pulse   int64              // usual time between two tellings of free lines; 0: not known
 	watched int64              // when connections to offices were last looked at
-	roles   map[state.Conn]any // *state.Caller, *state.Office or *journal
+	roles   map[state.Conn]any // *state.Caller, *state.Lane or *journal
 	callers []*state.Caller    // in the order in which they came
 	askers  []*state.Asker     // in the order in which they came
 	ends    []state.Ends       // by class
@@ -194,7 +194,7 @@
 	// The most entries that these have had at a sweep, since they were last made anew.
 	mostOver, mostCalls, mostStands int
 	offices                         state.Offices
-	dials                           map[uint64]*state.Office // nil: the journal
+	dials                           map[uint64]*state.Lane   // nil: the journal
 	redials                         map[uint64]*state.Office // those that wait to be dialled again, by the wait's number
 	dialled                         uint64
 	began                           int64
@@ -221,7 +221,7 @@
 		maxCallers: max(16, cfg.Sockets/2), maxBytes: math.MaxInt64, dialLimit: cfg.Settings.Limits.Dial,
 		roles: map[state.Conn]any{}, calls: map[uint64]*state.Call{},
 		stands: map[uint64]*state.Standing{}, unsent: map[uint64]state.Ending{}, over: map[uint64]int64{},
-		dials: map[uint64]*state.Office{}, redials: map[uint64]*state.Office{}}
+		dials: map[uint64]*state.Lane{}, redials: map[uint64]*state.Office{}}
 	if s.dialLimit <= 0 {
 		s.dialLimit = 500_000
 	}
@@ -315,7 +315,7 @@
 		switch to := s.dirty[i].(type) {
 		case *state.Caller:
 			s.writeCaller(to)
-		case *state.Office:
+		case *state.Lane:
 			s.writeOffice(to)
 		}
 	}
@@ -335,18 +335,18 @@
 
 // writeOffice writes what there is for an office. A write that fails has ended the connection; its end is told next and
 // ends the attempts. That it failed, as on a connection that was reset while idle, proves that the office has nothing of them.
-func (s *Session) writeOffice(o *state.Office) {
-	sent := s.write(o.Conn, &o.Box)
-	for _, b := range o.Box.Sent {
+func (s *Session) writeOffice(l *state.Lane) {
+	sent := s.write(l.Conn, &l.Box)
+	for _, b := range l.Box.Sent {
 		c := s.calls[b.Call]
 		switch {
 		case sent:
 			s.Counters[state.AttemptsOut]++
-		case c != nil && c.Attempt != nil && c.Attempt.N == b.N && c.Attempt.Office == o:
+		case c != nil && c.Attempt != nil && c.Attempt.N == b.N && c.Attempt.On == l:
 			c.Attempt.Failed = true
 		}
 	}
-	o.Box.Clear()
+	l.Box.Clear()
 }
 
 // write writes a box; false: the connection is no more.
@@ -430,7 +430,7 @@
 				role.Part = s.now
 				s.fromCaller(role, m, a.At)
 			})
-		case *state.Office:
+		case *state.Lane:
 			if role.Heard = s.now; len(role.In) == 0 {
 				role.Partial = s.now
 			}
@@ -520,7 +520,7 @@
 	switch role := s.roles[conn].(type) {
 	case *state.Caller:
 		s.writeCaller(role)
-	case *state.Office:
+	case *state.Lane:
 		s.writeOffice(role)
 	}
 	_ = conn.Close() // its end is what is asked for
@@ -533,7 +533,7 @@
 	switch role := role.(type) {
 	case *state.Caller:
 		s.callerLeft(role)
-	case *state.Office:
+	case *state.Lane:
 		s.officeLost(role, err)
 	case *journal:
 		s.journalLost(err)
@@ -543,17 +543,17 @@
 }
 
 // dial opens a connection to an office, or to the journal if it is nil.
-func (s *Session) dial(address string, office *state.Office) uint64 {
+func (s *Session) dial(address string, lane *state.Lane) uint64 {
 	s.dialled++
 	id := s.dialled
-	s.dials[id] = office
+	s.dials[id] = lane
 	s.wheel.Set(s.now+s.dialLimit, state.Timer{Kind: state.TimerDial, ID: id})
 	s.net.Dial(address, id)
 	return id
 }
 
 func (s *Session) dialledTo(a Arrival) {
-	office, ok := s.dials[a.Dial]
+	lane, ok := s.dials[a.Dial]
 	if !ok { // it took too long, and was given up
 		if a.Conn != nil {
 			_ = a.Conn.Close() // nothing was written to it
@@ -562,14 +562,14 @@
 	}
 	delete(s.dials, a.Dial)
 	switch {
-	case a.Err != nil && office == nil:
+	case a.Err != nil && lane == nil:
 		s.journalLost(a.Err)
 	case a.Err != nil:
-		s.officeUnreached(office, a.Err)
-	case office == nil:
+		s.officeUnreached(lane, a.Err)
+	case lane == nil:
 		s.journalOpen(a.Conn)
 	default:
-		s.officeOpen(office, a.Conn)
+		s.officeOpen(lane, a.Conn)
 	}
 }
 
@@ -583,12 +583,12 @@
 			s.giveUp(c.Attempt, decide.TimedOut)
 		}
 	case state.TimerDial:
-		if office, ok := s.dials[t.ID]; ok {
+		if lane, ok := s.dials[t.ID]; ok {
 			delete(s.dials, t.ID)
-			if office == nil {
+			if lane == nil {
 				s.journalLost(errDialTime)
 			} else {
-				s.officeUnreached(office, errDialTime)
+				s.officeUnreached(lane, errDialTime)
 			}
 		}
 	case state.TimerRedial:
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -53,8 +53,8 @@
 }
 
 // Try begins the call's next attempt. There is never more than one.
-func (c *Call) Try(o *Office, now int64) *Attempt {
-	c.attempt = Attempt{Call: c, N: c.Sends, Office: o, Since: now}
+func (c *Call) Try(on *Lane, now int64) *Attempt {
+	c.attempt = Attempt{Call: c, N: c.Sends, On: on, Since: now}
 	c.Sends++
 	return &c.attempt
 }
@@ -129,7 +129,7 @@
 type Attempt struct {
 	Call   *Call
 	N      int
-	Office *Office
+	On     *Lane // the connection that it is out on, or waits for
 	Since  int64 // when it was sent, or queued
 	Queued bool  // waits for a connection: nothing of it has reached the office
 	Failed bool  // could not be written: nothing of it has left
@@ -137,10 +137,10 @@
 
 // Standing is a call that stands.
 type Standing struct {
-	ID     uint64
-	Office *Office
-	From   *Caller
-	Since  int64
+	ID    uint64
+	On    *Lane // the connection that it was set up on; it may have ended
+	From  *Caller
+	Since int64
 }
 
 // Caller is a connection from callers.
@@ -177,23 +177,30 @@
 	Sent  bool // to a caller of whom it is not known whether it is a usual one
 }
 
-// Office is a call server and our connection to it.
+// Lane is a connection to an office, or one that is to be, and what is open on it.
+type Lane struct {
+	To       *Office
+	Number   uint32 // 0: the office's main one; further ones have numbers of their own, never given anew
+	Conn     Conn
+	Box      Outbox
+	Opened   int64  // when the connection came up
+	Heard    int64  // when anything last came on it
+	Told     int64  // when the office last told its free lines on it; 0: not yet
+	Dialling uint64 // the dial that is under way; 0: none
+	In       []byte
+	Partial  int64               // since when In holds part of a message
+	Out      map[uint64]*Attempt // attempts sent and not ended
+	Queue    []*Attempt          // attempts that wait for the connection
+}
+
+// Office is a call server and our main connection to it.
 type Office struct {
 	wire.Office
-	Conn      Conn
-	Box       Outbox
-	Opened    int64  // when the connection came up
-	Unreached bool   // the last connect was refused or did not come up
-	Heard     int64  // when anything last came on it
-	Told      int64  // when the office last told its free lines on it; 0: not yet
-	Dialling  uint64 // the dial that is under way; 0: none
-	Backoff   int64  // next pause between dials
-	NotUntil  int64  // no dial before this
-	Lost      int64  // when the connection was lost with calls standing; 0: not
-	In        []byte
-	Partial   int64                // since when In holds part of a message
-	Out       map[uint64]*Attempt  // attempts sent and not ended
-	Queue     []*Attempt           // attempts that wait for the connection
+	Lane
+	Unreached bool                 // the last connect was refused or did not come up
+	Backoff   int64                // next pause between dials
+	NotUntil  int64                // no dial before this
+	Lost      int64                // when the connection was lost with calls standing; 0: not
 	Standing  map[uint64]*Standing // calls that stand there
 	Ended     map[uint64]Ending    // releases that the office has not been heard to take
 }
@@ -227,8 +234,9 @@
 		listed[o.ID] = true
 		old := l.byID[o.ID]
 		if old == nil {
-			old = &Office{Office: o, Out: map[uint64]*Attempt{}, Standing: map[uint64]*Standing{},
+			old = &Office{Office: o, Lane: Lane{Out: map[uint64]*Attempt{}}, Standing: map[uint64]*Standing{},
 				Ended: map[uint64]Ending{}}
+			old.To = old
 			l.byID[o.ID] = old
 			l.order = append(l.order, old)
 			continue
