Give calls lanes of their own at an office, where pooling says which

Every message of every caller went on an office's one connection, which no office that keeps state on a connection bears. A Laner now says for each set-up whether it goes on the session's own lane, on one taken from the pool or on the main connection; without one nothing of it is made or asked.

--- a/internal/session/callers.go
+++ b/internal/session/callers.go
@@ -7,6 +7,7 @@
 
 	"pewterwheel/decide"
 	"pewterwheel/internal/admit"
+	"pewterwheel/internal/pooling"
 	"pewterwheel/internal/state"
 	"pewterwheel/internal/wire"
 )
@@ -22,6 +23,9 @@
 	c := &state.Caller{Conn: a.Conn, Since: s.now, Open: map[uint64]*state.Call{}, Quiet: s.now, Unsure: map[uint64]state.Ending{}}
 	s.roles[a.Conn] = c
 	s.callers = append(s.callers, c)
+	if s.lanes.laner != nil {
+		s.callerOpened(c)
+	}
 }
 
 // asks notes that a connection asks for a call, or ends one: it may be told of the ends that nobody was there for.
@@ -125,6 +129,9 @@
 		}
 	}
 	caller.Conn = nil
+	if s.lanes.laner != nil {
+		s.lanes.laner.Closed(s.now, pooling.ClientID(caller.Client), pooling.SessionID(caller.Session))
+	}
 }
 
 func (s *Session) fromCaller(from *state.Caller, m wire.Message, at int64) {
@@ -205,6 +212,9 @@
 		// A second set-up under a used id: any answer to it could be taken for one to the first, so it gets
 		// none, and its connection ends. A first that is open on the same connection fails with it.
 		s.Counters[state.BadIn]++
+		if s.lanes.laner != nil {
+			s.cameAgain(from, m.Call)
+		}
 		s.turnOut(from, errUsed)
 		return
 	}
@@ -247,6 +257,9 @@
 	}
 	s.calls[c.ID], from.Open[c.ID] = c, c
 	s.bytes += size
+	if s.lanes.laner != nil {
+		s.follow(c, class)
+	}
 	s.offered = append(s.offered, offered{call: c, id: c.ID, at: at, event: len(s.events)})
 	s.event(decide.Event{Kind: decide.Order, Call: decide.CallID(c.ID), Class: class, Key: up.Number,
 		Deadline: c.Deadline, Dest: up.Dest, Again: up.Again})
@@ -273,6 +286,9 @@
 func (s *Session) callerReleased(from *state.Caller, m wire.Message) {
 	if c := s.calls[m.Call]; c != nil && !c.Answered {
 		s.Counters[state.GiveUpsIn]++
+		if s.lanes.laner != nil {
+			s.cameEnd(from, m.Call)
+		}
 		s.callerGaveUp(c)
 		return
 	}
@@ -283,6 +299,9 @@
 		cause = wire.CauseNormal
 	}
 	if st := s.stands[m.Call]; st != nil {
+		if s.lanes.laner != nil {
+			s.cameEnd(from, m.Call)
+		}
 		s.good(from)
 		s.over[m.Call] = s.now
 		s.endStanding(st)
@@ -329,6 +348,9 @@
 	}
 	delete(s.calls, c.ID)
 	s.over[c.ID] = s.now
+	if s.lanes.laner != nil {
+		s.lanes.overs = append(s.lanes.overs, c.ID)
+	}
 }
 
 // final gives a caller the one final answer of a call that does not stand, at once.
--- a/internal/session/control.go
+++ b/internal/session/control.go
@@ -119,6 +119,9 @@
 			}
 		})
 	}
+	if s.lanes.laner != nil {
+		b = s.laneFigures(b)
+	}
 	b = wire.Count(b, wire.FigureAttempts, "", s.Counters[state.AttemptsOut])
 	b = wire.Gauge(b, wire.FigurePending, s.open()+len(s.stands))
 	b = wire.Gauge(b, wire.FigureMembers, members)
--- a/internal/session/journal.go
+++ b/internal/session/journal.go
@@ -99,7 +99,11 @@
 	if o == nil {
 		return 0
 	}
-	return len(o.Standing) + len(o.Out) + len(o.Ended)
+	n := len(o.Standing) + len(o.Out) + len(o.Ended)
+	for _, l := range o.Lanes {
+		n += len(l.Out)
+	}
+	return n
 }
 
 func (s *Session) fromJournal(data []byte) {
@@ -136,6 +140,12 @@
 		if o.State != decide.Up {
 			// Set-ups that wait for a connect would reach it after the grace: they never left.
 			s.unreached(&o.Lane)
+			for _, l := range o.Lanes {
+				s.unreached(l)
+			}
+			if o.Room != nil {
+				s.unreached(o.Room)
+			}
 		}
 	}
 	for _, o := range c.Offices {
--- a/internal/session/offices.go
+++ b/internal/session/offices.go
@@ -1,10 +1,14 @@
 package session
 
 import (
+	"context"
 	"errors"
+	"log/slog"
 	"math"
+	"slices"
 
 	"pewterwheel/decide"
+	"pewterwheel/internal/pooling"
 	"pewterwheel/internal/state"
 	"pewterwheel/internal/wire"
 )
@@ -20,6 +24,7 @@
 	errUsed     = errors.New("set-up under an id in use")
 	errNothing  = errors.New("nothing asked for in time")
 	errOdd      = errors.New("too much that cannot be read")
+	errIdle     = errors.New("nothing to carry any more")
 )
 
 // attempt sends a call's set-up to an office, over a connection that is opened first if there is none.
@@ -42,16 +47,30 @@
 			Outcome: decide.Unsent, Final: c.Answered, Load: decide.NoLoad()})
 		return
 	}
-	at := c.Try(&office.Lane, s.now)
+	l := &office.Lane
+	if s.lanes.laner != nil {
+		l = s.laneFor(c, office)
+	}
+	at := c.Try(l, s.now)
 	c.Attempt = at
 	s.setTimer(c.Deadline, state.Timer{Kind: state.TimerAttempt, ID: c.ID, N: int32(at.N)})
-	if office.Conn != nil {
+	s.putOn(at)
+}
+
+// putOn writes an attempt's set-up to its connection, or lets it wait for that.
+func (s *Session) putOn(at *state.Attempt) {
+	l := at.On
+	if l.Conn != nil {
 		s.put(at)
 		return
 	}
 	at.Queued = true
-	office.Queue = append(office.Queue, at)
-	s.connect(&office.Lane)
+	l.Queue = append(l.Queue, at)
+	if l == l.To.Room {
+		s.awaitRoom(at)
+		return
+	}
+	s.connect(l)
 }
 
 // put writes an attempt's set-up to its office.
@@ -97,6 +116,9 @@
 func (s *Session) endedWith(at *state.Attempt, o decide.Outcome, m wire.Message, when int64) {
 	c := at.Call
 	delete(at.On.Out, c.ID)
+	if at.On.Number != 0 {
+		s.laneFreed(at.On, c.ID)
+	}
 	c.Attempt = nil
 	s.event(decide.Event{Kind: decide.Ended, Call: decide.CallID(c.ID), Server: at.On.To.ID, Attempt: at.N,
 		Took: max(0, when-at.Since), Outcome: o, Final: c.Answered, Full: m.Overload(), Load: m.Load()})
@@ -127,8 +149,11 @@
 	if o.State == decide.Removed {
 		return
 	}
+	if s.lanes.laner != nil {
+		l = s.laneToEnd(l, call)
+	}
 	if len(o.Ended) < maxEndings {
-		o.Ended[call] = state.Ending{Cause: cause, At: s.now}
+		o.Ended[call] = state.Ending{Cause: cause, At: s.now, On: l.Number}
 	}
 	if l.Conn != nil {
 		s.toOffice(l, call, cause)
@@ -151,12 +176,17 @@
 		s.officeReleased(l, m, at)
 	case wire.TypeHeard:
 		delete(l.To.Ended, m.Call)
+		if s.lanes.laner != nil {
+			s.endHeard(l, m.Call)
+		}
 	case wire.TypeGroup:
 		// Comes unasked, again and again; the module draws by the free lines.
 		if l.Told != 0 {
 			s.pulsed(at - l.Told)
 		}
-		l.Told = at
+		if l.Told = at; l.Number != 0 && l.To.Conn != nil {
+			break // it comes on the main connection, too
+		}
 		s.event(decide.Event{Kind: decide.Checked, Server: l.To.ID, Outcome: decide.OK, Load: m.Load()})
 	case wire.TypeProgress, wire.TypeTested:
 	default:
@@ -165,7 +195,7 @@
 }
 
 func (s *Session) officeAnswered(l *state.Lane, m wire.Message, when int64) {
-	o, at := l.To, l.Out[m.Call]
+	o, at := l.To, s.outAt(l, m.Call)
 	if at == nil {
 		_, ended := o.Ended[m.Call]
 		if st := s.stands[m.Call]; !ended && (st == nil || st.On.To != o) {
@@ -183,7 +213,7 @@
 		return
 	}
 	s.Counters[state.AnswersBack]++
-	c := at.Call
+	c, l := at.Call, at.On
 	delete(l.Out, c.ID)
 	c.Attempt = nil
 	s.event(decide.Event{Kind: decide.Begun, Call: decide.CallID(c.ID), Server: o.ID, Attempt: at.N,
@@ -191,12 +221,14 @@
 	if c.Answered {
 		s.forget(c)
 		s.endAt(l, c.ID, wire.CauseNormal)
+		s.laneFreed(l, c.ID)
 		return
 	}
 	s.answered(c)
 	s.forget(c)
 	if !s.tellAnswer(c.From, c.ID, description) {
 		s.endAt(l, c.ID, wire.CauseNormal) // nobody knows that it stands
+		s.laneFreed(l, c.ID)
 		return
 	}
 	s.Counters[state.AnswersOut]++
@@ -207,6 +239,9 @@
 	*st = state.Standing{ID: c.ID, On: l, From: c.From, Since: s.now}
 	s.stands[c.ID], o.Standing[c.ID] = st, st
 	c.From.Stands++
+	if s.lanes.laner != nil {
+		s.stood(l, c.ID, description)
+	}
 }
 
 // unheard ends a call whose answer did not reach its caller: nobody knows that it stands.
@@ -228,26 +263,39 @@
 	wire.CauseCut: {decide.Cut, state.Resets}}
 
 func (s *Session) officeReleased(l *state.Lane, m wire.Message, when int64) {
-	box := s.officeBox(l)
+	hear := l
+	if s.lanes.laner != nil {
+		hear = s.laneToHear(l, m.Call)
+	}
+	box := s.officeBox(hear)
 	box.Bytes = wire.AppendHeard(box.Bytes, m.Call)
 	o, cause := l.To, m.Cause()
-	if at := l.Out[m.Call]; at != nil {
+	if at := s.outAt(l, m.Call); at != nil {
 		ended, ok := outcomes[cause]
 		if !ok {
 			ended.o, ended.c = decide.Failed, state.ErrorsBack
 		}
 		s.Counters[ended.c]++
+		if s.lanes.laner != nil {
+			s.saw(pooling.Failed, m.Call, cause, nil)
+		}
 		s.endedWith(at, ended.o, m, when)
 		return
 	}
 	if _, ours := o.Ended[m.Call]; ours {
 		delete(o.Ended, m.Call) // it crossed our own
+		if s.lanes.laner != nil {
+			s.endHeard(l, m.Call)
+		}
 		return
 	}
 	if st := s.stands[m.Call]; st != nil {
 		if st.On.To != o {
 			return // it was given up here and stands elsewhere: its end there is what counts
 		}
+		if s.lanes.laner != nil {
+			s.saw(pooling.EndedThere, m.Call, cause, nil)
+		}
 		s.endStanding(st)
 		s.tellEnd(m.Call, cause, st.From)
 	} else if _, known := s.over[m.Call]; !known && s.calls[m.Call] == nil {
@@ -260,13 +308,17 @@
 	delete(s.stands, st.ID)
 	st.From.Stands--
 	delete(st.On.To.Standing, st.ID)
+	if s.lanes.laner != nil {
+		s.stoodOn(st)
+	}
 	s.pool.Ended(st)
 }
 
-// cut releases towards their callers the calls that stood before a time at an office which is no more.
-func (s *Session) cut(o *state.Office, before int64) {
+// cut releases towards their callers the calls that stood before a time at an office which is no more, or, lost, of those
+// the ones whose own connection has ended.
+func (s *Session) cut(o *state.Office, before int64, lost bool) {
 	for _, st := range inOrder(o.Standing) {
-		if st.Since >= before {
+		if st.Since >= before || lost && st.On.Conn != nil {
 			continue
 		}
 		s.over[st.ID] = s.now
@@ -288,16 +340,19 @@
 
 func (s *Session) officeOpen(l *state.Lane, conn state.Conn) {
 	o := l.To
-	l.Dialling, o.Backoff, o.Lost, l.In, o.Unreached = 0, 0, 0, nil, false
+	if l.Dialling, l.In = 0, nil; l.Number == 0 {
+		o.Backoff, o.Lost, o.Unreached = 0, 0, false
+	}
 	if o.State == decide.Removed {
 		_ = conn.Close() // nothing was written to it
 		s.unreached(l)
+		s.laneOver(l)
 		return
 	}
 	l.Conn, l.Opened, l.Heard, l.Told = conn, s.now, s.now, 0
 	s.roles[conn] = l
-	for call, e := range inOrder(o.Ended) {
-		s.toOffice(l, call, e.Cause)
+	if l.Number == 0 {
+		s.endHere(l)
 	}
 	queue := l.Queue
 	l.Queue = nil
@@ -308,18 +363,25 @@
 
 func (s *Session) officeUnreached(l *state.Lane, err error) {
 	o := l.To
-	l.Dialling, o.Unreached = 0, true
-	s.log.Warn("office unreached", "office", o.ID, "error", err)
+	l.Dialling = 0
+	s.log.Warn("office unreached", "office", o.ID, "lane", l.Number, "error", err)
 	s.unreached(l)
+	if l.Number != 0 {
+		s.laneOver(l)
+		return
+	}
+	o.Unreached = true
 	within := int64(lostFor)
 	if errors.Is(err, errDialTime) {
 		within = silentFor
 	}
 	if o.Lost != 0 && s.now-o.Lost >= within {
-		for call := range o.Standing { // if it comes back with them, they stand for nobody
-			o.Ended[call] = state.Ending{Cause: wire.CauseCut, At: s.now}
+		for call, st := range o.Standing { // if it comes back with them, they stand for nobody
+			if st.On.Conn == nil {
+				o.Ended[call] = state.Ending{Cause: wire.CauseCut, At: s.now}
+			}
 		}
-		s.cut(o, math.MaxInt64)
+		s.cut(o, math.MaxInt64, true)
 	}
 	s.redialLater(o)
 }
@@ -340,7 +402,11 @@
 	o := l.To
 	l.Conn, l.In = nil, nil
 	s.writeOffice(l) // nobody is there: what was to be written has not left
-	s.log.Warn("office connection ended", "office", o.ID, "out", len(l.Out), "standing", len(o.Standing), "error", err)
+	level := slog.LevelWarn
+	if errors.Is(err, errIdle) {
+		level = slog.LevelDebug
+	}
+	s.log.Log(context.Background(), level, "office connection ended", "office", o.ID, "lane", l.Number, "out", len(l.Out), "standing", len(o.Standing), "error", err)
 	for _, at := range inOrder(l.Out) {
 		if at.Failed {
 			s.Counters[state.Unreached]++
@@ -348,10 +414,16 @@
 			continue
 		}
 		s.Counters[state.Resets]++
-		o.Ended[at.Call.ID] = state.Ending{Cause: wire.CauseNormal, At: s.now}
+		o.Ended[at.Call.ID] = state.Ending{Cause: wire.CauseNormal, At: s.now, On: l.Number}
+		if s.lanes.laner != nil {
+			s.saw(pooling.LaneLost, at.Call.ID, 0, nil)
+		}
 		s.ended(at, decide.Cut)
 	}
-	if len(o.Standing) > 0 && o.Lost == 0 {
+	if s.lanes.laner != nil {
+		s.laneLost(l)
+	}
+	if len(o.Standing) > 0 && o.Lost == 0 && o.Conn == nil {
 		o.Lost = s.now
 	}
 	s.redial(o)
@@ -382,14 +454,22 @@
 	stoodStill := s.now-s.watched > 2*watch
 	s.watched = s.now
 	for _, o := range s.offices.All() {
-		switch {
-		case o.Conn == nil:
-		case len(o.In) > 0 && s.now-o.Partial >= wholeWithin:
-			s.Counters[state.BadIn]++
-			s.drop(o.Conn, errPartial)
-		case len(o.Out)+len(o.Standing) > 0 && !stoodStill && s.mute(&o.Lane):
-			s.drop(o.Conn, errMute)
-		}
+		s.watchOffice(&o.Lane, len(o.Standing), stoodStill)
+	}
+	if s.lanes.laner != nil {
+		s.watchLanes(stoodStill)
+	}
+}
+
+// watchOffice ends a connection at which so many calls stand if it brings nothing any more, or nothing whole.
+func (s *Session) watchOffice(l *state.Lane, stand int, stoodStill bool) {
+	switch {
+	case l.Conn == nil:
+	case len(l.In) > 0 && s.now-l.Partial >= wholeWithin:
+		s.Counters[state.BadIn]++
+		s.drop(l.Conn, errPartial)
+	case len(l.Out)+stand > 0 && !stoodStill && s.mute(l):
+		s.drop(l.Conn, errMute)
 	}
 }
 
@@ -415,24 +495,35 @@
 	if !g.Removed {
 		before = o.Started
 	}
-	s.cut(o, before)
-	if o.Conn != nil && o.Opened >= before {
+	s.cut(o, before, false)
+	for _, l := range slices.Clone(o.Lanes) {
+		s.laneGone(l, before)
+	}
+	s.laneGone(&o.Lane, before)
+}
+
+// laneGone ends a connection to an office, or to one life of it, that is over.
+func (s *Session) laneGone(l *state.Lane, before int64) {
+	if l.Conn != nil && l.Opened >= before {
 		return
 	}
-	if o.Conn != nil {
-		s.writeOffice(&o.Lane)
-		delete(s.roles, o.Conn)
-		_ = o.Conn.Close() // its end is what is asked for
-		o.Conn = nil
+	if l.Conn != nil {
+		s.writeOffice(l)
+		delete(s.roles, l.Conn)
+		_ = l.Conn.Close() // its end is what is asked for
+		l.Conn = nil
 	}
-	for _, at := range inOrder(o.Out) {
+	for _, at := range inOrder(l.Out) {
 		s.Counters[state.Resets]++
 		s.ended(at, decide.Cut)
 	}
-	clear(o.Ended)
-	if o.Dialling != 0 { // it may lead to the old address
-		delete(s.dials, o.Dialling)
-		o.Dialling = 0
+	if l.Number == 0 {
+		clear(l.To.Ended)
 	}
-	s.unreached(&o.Lane)
+	if l.Dialling != 0 { // it may lead to the old address
+		delete(s.dials, l.Dialling)
+		l.Dialling = 0
+	}
+	s.unreached(l)
+	s.laneOver(l)
 }
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -14,6 +14,7 @@
 	"pewterwheel/decide"
 	"pewterwheel/internal/admit"
 	"pewterwheel/internal/membership"
+	"pewterwheel/internal/pooling"
 	"pewterwheel/internal/state"
 	"pewterwheel/internal/wire"
 )
@@ -141,6 +142,12 @@
 	Seed     uint64
 	// Node makes what decides; nil: the module alone.
 	Node func(decide.Settings, uint64) (Decider, error)
+	// Laner says on which connection to an office a message goes; nil: each office has one for all, and nothing of it is kept.
+	Laner pooling.Laner
+	// Watch: Laner is told what is seen and not asked; all goes as without it.
+	Watch bool
+	// Application is the name of the application whose callers come here, for Laner.
+	Application string
 }
 
 // Session is one running session controller. All of it belongs to one goroutine.
@@ -201,6 +208,7 @@
 	stop                            int64 // when SIGTERM came; 0: not
 	left                            bool  // nobody listens for callers any more
 	drain                           int64 // since when callers are sent away though the program goes on; 0: they are not
+	lanes                           lanes
 }
 
 // New returns a session that knows the list of its configuration. The first Step starts it.
@@ -225,6 +233,7 @@
 	if s.dialLimit <= 0 {
 		s.dialLimit = 500_000
 	}
+	s.lanes.init(cfg)
 	if cfg.Memory > 0 {
 		s.maxBytes = cfg.Memory / heldPart
 	}
@@ -292,6 +301,9 @@
 			s.act(a)
 		}
 	}
+	if s.lanes.laner != nil {
+		s.laneRound()
+	}
 	s.flush()
 	s.pool.Settle()
 }
@@ -386,7 +398,11 @@
 
 // endNow gives an open call its final answer, whatever the module would still do for it, and calls it off.
 func (s *Session) endNow(c *state.Call) {
-	s.final(decide.Action{Call: decide.CallID(c.ID)}, wire.CauseCut, state.FailuresOut)
+	s.endWith(c, decide.Action{Call: decide.CallID(c.ID)}, wire.CauseCut, state.FailuresOut)
+}
+
+func (s *Session) endWith(c *state.Call, a decide.Action, cause byte, counter state.Counter) {
+	s.final(a, cause, counter)
 	s.event(decide.Event{Kind: decide.Gone, Call: decide.CallID(c.ID)})
 	if c.Attempt != nil {
 		s.giveUp(c.Attempt, decide.Cancelled)
@@ -605,6 +621,8 @@
 		s.watchAskers()
 		s.sendAway()
 		s.wheel.Set(s.now+watch, t)
+	case state.TimerRoom:
+		s.noRoom(t.ID, int(t.N))
 	case state.TimerLeave:
 		s.net.Leave()
 	case state.TimerStop:
@@ -628,6 +646,8 @@
 	s.over = shrunk(s.over, &s.mostOver)
 	s.calls = shrunk(s.calls, &s.mostCalls)
 	s.stands = shrunk(s.stands, &s.mostStands)
+	s.lanes.mostFollowed = max(s.lanes.mostFollowed, len(s.lanes.followed))
+	s.lanes.followed = shrunk(s.lanes.followed, &s.lanes.mostFollowed)
 	old := func(_ uint64, e state.Ending) bool { return s.now-e.At > remember }
 	maps.DeleteFunc(s.unsent, old)
 	for _, c := range s.callers {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -158,6 +158,9 @@
 	Good   bool             // a call of it stood, or it has heard of the end of one: no bad client gets so far
 	Odd    int              // set-ups and releases that nothing could be made of
 	Unsure map[uint64]Ending
+
+	Session uint64 // number of the connection, never given anew; 0: calls are given no lanes
+	Client  uint32 // who it is, for the verdict on its lanes
 }
 
 // Asker is a connection of the second address.
@@ -174,7 +177,8 @@
 type Ending struct {
 	Cause byte
 	At    int64
-	Sent  bool // to a caller of whom it is not known whether it is a usual one
+	Sent  bool   // to a caller of whom it is not known whether it is a usual one
+	On    uint32 // number of the lane on which it was sent to an office
 }
 
 // Lane is a connection to an office, or one that is to be, and what is open on it.
@@ -191,8 +195,20 @@
 	Partial  int64               // since when In holds part of a message
 	Out      map[uint64]*Attempt // attempts sent and not ended
 	Queue    []*Attempt          // attempts that wait for the connection
+
+	// Of further lanes alone.
+	Owner  *Caller // it is this caller's own; nil: one of the pool
+	Holder uint64  // the call that has taken it from the pool; 0: none has
+	Stands int     // calls that stand and were set up on it
+	Idle   int64   // since when nothing is open on it, where nothing is
 }
 
+// Quiet tells whether nothing is open on a further lane, waits for it or stands on it.
+func (l *Lane) Quiet() bool { return l.Holder == 0 && l.Stands == 0 && len(l.Out)+len(l.Queue) == 0 }
+
+// Loose tells whether a further lane is nobody's any more: its caller has left, or no call has taken it from the pool.
+func (l *Lane) Loose() bool { return l.Quiet() && (l.Owner == nil || l.Owner.Conn == nil) }
+
 // Office is a call server and our main connection to it.
 type Office struct {
 	wire.Office
@@ -203,6 +219,13 @@
 	Lost      int64                // when the connection was lost with calls standing; 0: not
 	Standing  map[uint64]*Standing // calls that stand there
 	Ended     map[uint64]Ending    // releases that the office has not been heard to take
+
+	// Nothing of this is made where no calls are given lanes.
+	Serial uint64           // number of the office, for the verdict on its lanes
+	Lanes  []*Lane          // further ones, in the order in which they were asked for
+	Own    map[uint64]*Lane // of them, those of callers that are connected or have just left, by session
+	Free   []*Lane          // of them, those of the pool that no call has taken; the last one given back comes last
+	Room   *Lane            // no connection: where attempts wait for which there is no room for a lane
 }
 
 // Offices is the list of offices.
@@ -267,7 +290,7 @@
 func (l *Offices) Forget() {
 	l.order = slices.DeleteFunc(l.order, func(o *Office) bool {
 		empty := o.State == decide.Removed && o.Conn == nil && o.Dialling == 0 && len(o.Out) == 0 &&
-			len(o.Queue) == 0 && len(o.Standing) == 0
+			len(o.Queue) == 0 && len(o.Standing) == 0 && len(o.Lanes) == 0 && (o.Room == nil || len(o.Room.Queue) == 0)
 		if empty {
 			delete(l.byID, o.ID)
 		}
--- a/internal/state/wheel.go
+++ b/internal/state/wheel.go
@@ -13,6 +13,7 @@
 	TimerLeave              // no new callers are to come
 	TimerStop               // what is open must have its answer now
 	TimerSweep              // drop what is too old
+	TimerRoom               // an attempt has waited long enough for room for a lane: ID is the call, N the attempt
 )
 
 // Timer is one entry of the wheel. It cannot be taken back; whoever set it checks whether it still matters. It holds no
