--- a/internal/session/exchange_test.go
+++ b/internal/session/exchange_test.go
@@ -64,6 +64,7 @@
 	ended  bool
 	// leaving: no new callers are wanted any more. holds: it is told only by the test that nobody waits.
 	leaving, holds bool
+	laner          *fakeLaner      // nil: calls are given no lanes
 	split          func(n int) int // where what arrives is split, of so many bytes; nil: nowhere
 }
 
@@ -108,6 +109,9 @@
 	case "refuse":
 		a.Err = errors.New("refused")
 	default:
+		if p.s != nil && p.s.dials[id] != nil && p.s.dials[id].Number != 0 {
+			name = fmt.Sprintf("%s.%d", name, p.s.dials[id].Number)
+		}
 		conn := &fakeConn{p: p, name: name}
 		p.conns[name], a.Conn = conn, conn
 	}
@@ -164,11 +168,18 @@
 		p.step(Arrival{Kind: Reload, At: p.now, Update: membership.Update{Address: "journal2"}})
 		return
 	}
+	if words[1] == "verdict" {
+		p.laner.modes[words[2]] = words[3]
+		return
+	}
 	name, conn := words[1], p.conns[words[1]]
 	switch words[2] {
 	case "open":
 		conn = &fakeConn{p: p, name: name}
 		p.conns[name] = conn
+		if p.laner != nil {
+			p.laner.opens = name
+		}
 		kind := Accepted
 		if name[0] == 'q' {
 			kind = Asked
@@ -251,9 +262,10 @@
 	return text
 }
 
-func newPlayer(t *testing.T) *player {
+func newPlayer(t *testing.T) *player { return newPlayerOf(t, Config{Sockets: 1024, Seed: 7}) }
+
+func newPlayerOf(t *testing.T, cfg Config) *player {
 	p := &player{t: t, conns: map[string]*fakeConn{}, policy: map[string]string{}}
-	cfg := Config{Sockets: 1024, Seed: 7}
 	var first wire.Known
 	for text, into := range map[string]any{settings: &cfg.Settings, known: &first} {
 		if err := json.Unmarshal([]byte(text), into); err != nil {
@@ -340,8 +352,10 @@
 	}
 }
 
-func TestExchanges(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txt")
+func TestExchanges(t *testing.T) { playFiles(t, "testdata/*.txt", newPlayer) }
+
+func playFiles(t *testing.T, pattern string, newPlayer func(*testing.T) *player) {
+	files, err := filepath.Glob(pattern)
 	if err != nil || len(files) == 0 {
 		t.Fatalf("no recordings: %v", err)
 	}
@@ -360,7 +374,7 @@
 				switch {
 				case strings.HasPrefix(line, "#"):
 					p.lines = append(p.lines, line)
-				case len(words) > 2 && words[2] == "<", words[len(words)-1] == "shut", words[len(words)-1] == "end":
+				case len(words) > 2 && words[2] == "<", words[1] == "see", words[len(words)-1] == "shut", words[len(words)-1] == "end":
 				default:
 					if !started {
 						started = true
@@ -404,7 +418,7 @@
 				}
 			}
 		}
-		if len(words) < 4 || words[1][0] == 'j' {
+		if len(words) < 4 || words[1][0] == 'j' || words[1] == "see" || words[1] == "verdict" {
 			continue
 		}
 		for b := parse(t, words[3]); len(b) > 0; {
--- a/internal/session/lanes.go
+++ b/internal/session/lanes.go
@@ -17,7 +17,7 @@
 	// lanePart of the descriptors may be lanes, over all offices; callers have half. What the offices' main connections
 	// need is left to them, and laneSpare for the journal, the second address and the listeners. One office may have half of
 	// the lanes. Guards against an office that answers slowly having all of them.
-	lanePart, laneSpare, laneOffice = 4, 32, 2
+	lanePart, laneSpare, laneOffice = 4, 24, 2
 	// laneIdle is how long a lane of the pool may carry nothing, laneLinger one whose caller has left.
 	laneIdle, laneLinger = 10_000_000, 1_000_000
 	// maxWaiting set-ups wait at an office for room for a lane; more are refused at once.
@@ -387,7 +387,11 @@
 		waiting := o.Room.Queue
 		kept, fresh := waiting[:0:0], true
 		for _, at := range waiting {
-			l := s.laneAs(s.lanes.followed[at.Call.ID].pick, at.Call, o, fresh)
+			pick := pooling.Own
+			if f := n.followed[at.Call.ID]; f != nil {
+				pick = f.pick
+			}
+			l := s.laneAs(pick, at.Call, o, fresh)
 			if l == nil {
 				kept, fresh = append(kept, at), false
 				continue
@@ -556,6 +560,22 @@
 	}
 }
 
+// sweepLanes closes callers' own lanes that have carried nothing for a while, where pooling no longer needs them.
+func (s *Session) sweepLanes() {
+	n := &s.lanes
+	for _, o := range s.offices.All() {
+		n.scratch = append(n.scratch[:0], o.Lanes...)
+		for _, l := range n.scratch {
+			c := l.Owner
+			if c != nil && c.Conn != nil && l.Conn != nil && l.Quiet() && s.now-l.Idle >= laneIdle &&
+				!n.laner.Keep(s.now, pooling.ClientID(c.Client), pooling.SessionID(c.Session)) && !l.Conn.Waiting() {
+				s.drop(l.Conn, errIdle)
+			}
+		}
+	}
+	clear(n.scratch)
+}
+
 // laneFigures are told to staff where calls are given lanes.
 func (s *Session) laneFigures(b []byte) []byte {
 	n := &s.lanes
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -656,6 +656,9 @@
 	for _, o := range s.offices.All() {
 		maps.DeleteFunc(o.Ended, old)
 	}
+	if s.lanes.laner != nil {
+		s.sweepLanes()
+	}
 	s.offices.Forget()
 }
 
