Stand-in offices that keep state on a connection, callers with hidden habits

Verdicts on sharing need a ground truth. A bound office refuses what counts on state of another connection and the book counts the harm; a client's habit comes from a seed and says which modes it bears.

--- a/internal/service/config.go
+++ b/internal/service/config.go
@@ -9,6 +9,7 @@
 
 	"pewterwheel/decide"
 	"pewterwheel/internal/membership"
+	"pewterwheel/internal/pooling"
 	"pewterwheel/internal/session"
 	"pewterwheel/internal/wire"
 )
@@ -33,6 +34,11 @@
 	Linger  int64                                                  `json:"-"` // microseconds; see membership.NewFile
 	Node    func(decide.Settings, uint64) (session.Decider, error) `json:"-"` // nil: the module alone
 	Part    any                                                    `json:"-"` // for a Node that is a session.Reloader
+
+	// What gives calls lanes at the offices, for callers of the application of this name; nil: all share one. See session.Config.
+	Laner       pooling.Laner `json:"-"`
+	Watch       bool          `json:"-"`
+	Application string        `json:"-"`
 }
 
 // ReadConfig reads the configuration. Unknown fields are passed over: newer platforms tell more.
@@ -61,7 +67,7 @@
 		return session.Config{}, fmt.Errorf("configuration: seed: %w", err)
 	}
 	cfg := session.Config{Settings: c.Settings, Sockets: c.Limits.Sockets, Memory: c.Limits.MemoryMB << 20, Seed: seed,
-		Node: c.Node}
+		Node: c.Node, Laner: c.Laner, Watch: c.Watch, Application: c.Application}
 	if c.Journal != "" {
 		cfg.Source = membership.NewJournal(c.Journal, c.Known, c.Settings.Zones)
 	} else {
--- /dev/null
+++ b/internal/session/lanes_sockets_test.go
@@ -0,0 +1,176 @@
+package session_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"pewterwheel/internal/membership"
+	"pewterwheel/internal/pooling"
+	"pewterwheel/internal/service"
+	"pewterwheel/internal/standin"
+	"pewterwheel/internal/wire"
+)
+
+// fixed gives all calls one kind of lane, and counts what it is told.
+type fixed struct {
+	mu   sync.Mutex
+	mode pooling.Mode
+	next pooling.ClientID
+	from map[string]int // sources
+	saw  map[pooling.Happening]int
+}
+
+func (l *fixed) Open(_ int64, _ pooling.SessionID, application, source string) pooling.ClientID {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.from[application+" "+source]++
+	l.next++
+	return l.next
+}
+func (l *fixed) Closed(int64, pooling.ClientID, pooling.SessionID)    {}
+func (l *fixed) Keep(int64, pooling.ClientID, pooling.SessionID) bool { return true }
+func (l *fixed) Lane(_ int64, c *pooling.Call, k pooling.Kind) pooling.Lane {
+	switch {
+	case k == pooling.End && l.mode == pooling.ByMessage:
+		return pooling.Any
+	case k != pooling.SetUp:
+		return pooling.Held
+	}
+	c.Lane = pooling.Lane(l.mode) // they have the same order
+	return c.Lane
+}
+func (l *fixed) Observe(_ int64, o pooling.Observation) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.saw[o.What]++
+}
+func (l *fixed) Round(int64) {}
+
+// serving is a log's handler that tells when the program serves.
+type serving chan struct{}
+
+func (c serving) Enabled(context.Context, slog.Level) bool { return true }
+func (c serving) WithAttrs([]slog.Attr) slog.Handler       { return c }
+func (c serving) WithGroup(string) slog.Handler            { return c }
+func (c serving) Handle(_ context.Context, r slog.Record) error {
+	if r.Message == "serving" {
+		close(c)
+	}
+	return nil
+}
+
+var starting sync.Mutex
+
+// serve runs the program until the test ends, or stop is called.
+func serve(t *testing.T, l *fixed, office string) (address string, stop func()) {
+	t.Helper()
+	address = fmt.Sprintf("127.0.0.1:%d", standin.FreePort())
+	cfg := service.Config{Name: "s", Listen: address, Seed: "8c1f30d27a5be964", Laner: l, Application: "app",
+		Members: []membership.Member{{Name: "o1", Address: netip.MustParseAddrPort(office), Weight: 1}}}
+	cfg.Limits.Cores, cfg.Limits.Sockets = 1, 256
+	set := &cfg.Settings
+	set.Balancers, set.Quantum, set.Zones = 1, 5_000, []string{""}
+	set.Classes = []wire.ClassSettings{{Name: "sale-auth", Aim: 800_000, Deadline: 6_000_000, Worth: 1, Effect: "free"}}
+	set.Info.Guard, set.Info.Resend = 200_000, 500_000
+	set.Limits.MaxTries, set.Limits.Cancel, set.Limits.RetryAfter, set.Limits.MaxAfter = 2, true, true, 2_000_000
+	set.Rules.Ask = 1 << 60
+	signals, ended := make(chan os.Signal, 1), make(chan error, 1)
+	up := make(serving)
+	starting.Lock() // the engine's package has a variable that each start sets
+	go func() {
+		ended <- service.Run(func() (service.Config, error) { return cfg, nil }, signals, slog.New(up))
+	}()
+	<-up
+	starting.Unlock()
+	stop = sync.OnceFunc(func() {
+		signals <- syscall.SIGTERM
+		must(t, <-ended)
+	})
+	t.Cleanup(stop)
+	return address, stop
+}
+
+// On real sockets, at an office that keeps state on its connections: clients whose habits bear a mode come to no harm in it,
+// and some that don't do come to harm, so the office would have told. No rule is broken either way, and every call has its
+// one final answer.
+func TestLanesKeepWhatOfficesKeepOnConnections(t *testing.T) {
+	lanes := map[pooling.Mode]string{pooling.BySession: "by session", pooling.ByCall: "by call", pooling.ByMessage: "by message"}
+	harmed := map[string]bool{"by call, repeats token": true, "by call, relies on order": true, "by message, relies on order": true}
+	for mode, name := range lanes {
+		for habit := standin.Stateless; habit < standin.Rarely; habit++ {
+			name := name + ", " + habit.String()
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				book := standin.NewBook()
+				o, err := standin.NewOffice("o1", fmt.Sprintf("127.0.0.1:%d", standin.FreePort()), book,
+					standin.Script{Work: time.Millisecond, Bound: wire.CauseMissing})
+				must(t, err)
+				t.Cleanup(o.Close)
+				l := &fixed{mode: mode, from: map[string]int{}, saw: map[pooling.Happening]int{}}
+				address, stop := serve(t, l, o.Address)
+				var clients []*standin.Client
+				for i := range 3 {
+					c, err := standin.DialClient(address, book, habit, uint64(i), 3*time.Millisecond)
+					must(t, err)
+					clients = append(clients, c)
+				}
+				var all sync.WaitGroup
+				for _, c := range clients {
+					all.Go(func() {
+						if !c.Play("sale-auth", 6*time.Second, 25) {
+							t.Error("calls without a final answer")
+						}
+					})
+				}
+				all.Wait()
+				eventually(t, "calls still stand", func() bool { return o.Standing() == 0 })
+				for _, c := range clients {
+					c.Close()
+				}
+				stop()
+				book.Settle()
+				sums := book.Sums()
+				is(t, "rules kept", len(book.Broken()) == 0, book.Broken())
+				is(t, "one final answer each", sums.Offered == sums.Answered+sums.Refused+sums.Failed, sums)
+				if habit.Safe(mode) {
+					is(t, "no harm, all answered", sums.Harmed == 0 && sums.Answered == sums.Offered, sums)
+				} else if harmed[name] {
+					is(t, "harm", sums.Harmed > 0, sums)
+				}
+				is(t, "one source", len(l.from) == 1 && l.from["app 127.0.0.1"] > 0, l.from)
+				is(t, "each call told of, and its end", l.saw[pooling.CameSetUp] == sums.Offered && l.saw[pooling.Over] == sums.Offered, l.saw)
+				is(t, "used ids told", (habit == standin.ReusesIDs) == (l.saw[pooling.CameAgain] > 0), l.saw)
+			})
+		}
+	}
+}
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func is(t *testing.T, what string, so bool, shown any) {
+	t.Helper()
+	if !so {
+		t.Errorf("not so: %s: %+v", what, shown)
+	}
+}
+
+func eventually(t *testing.T, not string, is func() bool) {
+	t.Helper()
+	for by := time.Now().Add(20 * time.Second); !is(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(by) {
+			t.Fatal(not)
+		}
+	}
+}
--- a/internal/standin/book.go
+++ b/internal/standin/book.go
@@ -25,6 +25,7 @@
 	Offered, Answered, Refused, Failed int
 	Attempts                           int
 	Late                               int // final answers after the caller gave up
+	Harmed                             int // messages for which an office missed state that it keeps on another connection
 }
 
 type seen struct {
@@ -49,6 +50,15 @@
 // Sums gives the counts.
 func (b *Book) Sums() Counts { b.mu.Lock(); defer b.mu.Unlock(); return b.Counts }
 
+// Harmed is how many messages were harmed by the connection on which they came to an office.
+func (b *Book) Harmed() int { return b.Sums().Harmed }
+
+func (b *Book) harm() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.Counts.Harmed++
+}
+
 // maxBroken bounds what is kept; one is enough to fail.
 const maxBroken = 50
 
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -22,15 +22,28 @@
 	hold time.Duration
 	done sync.WaitGroup
 	down bool
+
+	// What a Client does otherwise; nil: as usual.
+	describe func(id uint64) string
+	took     func(id uint64, description []byte)
+	ends     *Caller // releases go on its connection
 }
 
 // Dial connects to a sidecar. Calls that stand are released after the hold time.
 func Dial(address string, book *Book, hold time.Duration) (*Caller, error) {
+	return dial(address, book, hold, nil)
+}
+
+// dial is Dial, of whose caller with may change what it does before anything comes.
+func dial(address string, book *Book, hold time.Duration, with func(*Caller)) (*Caller, error) {
 	conn, err := net.DialTimeout("tcp4", address, 5*time.Second)
 	if err != nil {
 		return nil, fmt.Errorf("stand-in caller: %w", err)
 	}
 	c := &Caller{pipe: &pipe{conn: conn}, book: book, open: map[uint64]chan wire.Message{}, hold: hold}
+	if with != nil {
+		with(c)
+	}
 	go c.read()
 	return c, nil
 }
@@ -56,8 +69,20 @@
 		}
 		switch m.Type {
 		case wire.TypeAnswer:
+			ends := c
+			if c.ends != nil {
+				ends = c.ends
+			}
+			if description, ok := m.Get(wire.ParamDescription); ok && c.took != nil {
+				c.took(m.Call, description)
+			}
+			// Before the final answer is told: who waits for it may send what relies on this order.
+			if c.hold == 0 {
+				_ = ends.pipe.send(wire.ReleaseOf(m.Call, wire.CauseNormal))
+			} else {
+				time.AfterFunc(c.hold, func() { _ = ends.pipe.send(wire.ReleaseOf(m.Call, wire.CauseNormal)) })
+			}
 			c.final(m)
-			time.AfterFunc(c.hold, func() { _ = c.pipe.send(wire.ReleaseOf(m.Call, wire.CauseNormal)) })
 		case wire.TypeRelease:
 			c.mu.Lock()
 			_, open := c.open[m.Call]
@@ -92,7 +117,11 @@
 	c.mu.Unlock()
 	c.done.Add(1)
 	c.book.offered(id, time.Now().Add(wait))
-	m := wire.SetUp{Class: class, Number: fmt.Sprintf("n/%d", id), Description: []byte("offer")}.Onward(id, wait.Microseconds())
+	description := "offer"
+	if c.describe != nil {
+		description = c.describe(id)
+	}
+	m := wire.SetUp{Class: class, Number: fmt.Sprintf("n/%d", id), Description: []byte(description)}.Onward(id, wait.Microseconds())
 	m.Params = append(m.Params, wire.Text(wire.ParamInfo, "dest:-1;width:1;via:-1"))
 	if err := c.pipe.send(m); err != nil {
 		c.book.broken("call %x could not be sent: %v", id, err)
--- a/internal/standin/office.go
+++ b/internal/standin/office.go
@@ -29,6 +29,9 @@
 	Mode Mode
 	// Work is the time that its one line spends on a set-up that is answered; a queue longer than Queue is Full.
 	Work, Queue time.Duration
+	// Bound, if it is not 0, is the cause with which the office refuses a set-up whose state it keeps on another connection
+	// than that on which the set-up comes. Each such set-up, and each such end of a call, is harmed (Book.Harmed).
+	Bound byte
 }
 
 // Bound is what a cold office bears.
@@ -51,6 +54,7 @@
 	conns    map[net.Conn]bool
 	free     time.Time // when its line is worked off
 	standing map[uint64]bool
+	ties     ties
 	started  time.Time // zero: long ago
 	bound    Bound
 	sets     []time.Time // set-ups since it started cold
@@ -143,6 +147,7 @@
 		_ = p.conn.Close()
 		o.mu.Lock()
 		delete(o.conns, p.conn)
+		o.ties.forget(p)
 		o.mu.Unlock()
 		for call := range out {
 			o.book.over(call, o.Name, true)
@@ -155,14 +160,19 @@
 		}
 		switch m.Type {
 		case wire.TypeSetUp:
-			if !o.setUp(p, m.Call, out) {
+			description, _ := m.Get(wire.ParamDescription)
+			if !o.setUp(p, m.Call, string(description), out) {
 				return
 			}
 		case wire.TypeRelease:
 			o.mu.Lock()
 			stood := o.standing[m.Call]
 			delete(o.standing, m.Call)
+			harmed := o.ties.end(p, m.Call)
 			o.mu.Unlock()
+			if harmed {
+				o.book.harm()
+			}
 			if !stood && out[m.Call] {
 				o.book.over(m.Call, o.Name, true)
 			}
@@ -173,7 +183,7 @@
 }
 
 // setUp takes a set-up; false: the connection is to end.
-func (o *Office) setUp(p *pipe, call uint64, out map[uint64]bool) bool {
+func (o *Office) setUp(p *pipe, call uint64, description string, out map[uint64]bool) bool {
 	now := time.Now()
 	o.book.out(call, o.Name, now)
 	out[call] = true
@@ -184,7 +194,11 @@
 	s := o.script
 	wait := max(0, o.free.Sub(now))
 	full := s.Mode == Full || s.Queue > 0 && wait > s.Queue
-	if s.Mode == Answer && !full {
+	missing := ""
+	if s.Bound != 0 && !full {
+		missing = o.ties.missing(o.Name, p, call, description)
+	}
+	if missing == "" && s.Mode == Answer && !full {
 		o.free = now.Add(wait + s.Work)
 	}
 	o.mu.Unlock()
@@ -198,6 +212,13 @@
 		m := wire.ReleaseOf(call, wire.CauseFull)
 		m.Params = append(m.Params, wire.Text(wire.ParamNote, wire.NoteOverload))
 		return p.send(m) == nil
+	case missing != "":
+		delete(out, call)
+		o.book.over(call, o.Name, false)
+		o.book.harm()
+		m := wire.ReleaseOf(call, s.Bound)
+		m.Params = append(m.Params, wire.Text(wire.ParamNote, missing))
+		return p.send(m) == nil
 	case s.Mode == Busy:
 		delete(out, call)
 		o.book.over(call, o.Name, false)
@@ -213,8 +234,12 @@
 		}
 		o.mu.Lock()
 		o.standing[call] = true
+		told := o.Name
+		if s.Bound != 0 {
+			told = o.ties.give(o.Name, p, call)
+		}
 		o.mu.Unlock()
-		_ = p.send(wire.Message{Type: wire.TypeAnswer, Call: call, Params: []wire.Param{{Code: wire.ParamDescription, Value: []byte(o.Name)}}})
+		_ = p.send(wire.Message{Type: wire.TypeAnswer, Call: call, Params: []wire.Param{{Code: wire.ParamDescription, Value: []byte(told)}}})
 	})
 	return true
 }
