--- a/internal/session/exchange_test.go
+++ b/internal/session/exchange_test.go
@@ -64,8 +64,10 @@
 	ended  bool
 	// leaving: no new callers are wanted any more. holds: it is told only by the test that nobody waits.
 	leaving, holds bool
-	laner          *fakeLaner      // nil: calls are given no lanes
-	split          func(n int) int // where what arrives is split, of so many bytes; nil: nowhere
+	laner          *fakeLaner              // nil: calls are given no lanes
+	wrote          func(*fakeConn, []byte) // takes what is written, in place of the lines; nil: they do
+	shut, came     func(*fakeConn)         // are told of connections that were closed, and that came up; nil: not
+	split          func(n int) int         // where what arrives is split, of so many bytes; nil: nowhere
 }
 
 type fakeConn struct {
@@ -84,6 +86,10 @@
 	if c.dead {
 		return 0, errors.New("closed")
 	}
+	if c.p.wrote != nil {
+		c.p.wrote(c, b)
+		return len(b), nil
+	}
 	c.p.note(c.name + " < " + render(b))
 	return len(b), nil
 }
@@ -92,6 +98,9 @@
 	if !c.dead {
 		c.dead = true
 		c.p.note(c.name + " shut")
+		if c.p.shut != nil {
+			c.p.shut(c)
+		}
 	}
 	return nil
 }
@@ -114,6 +123,9 @@
 		}
 		conn := &fakeConn{p: p, name: name}
 		p.conns[name], a.Conn = conn, conn
+		if p.came != nil && name[0] == 'o' {
+			p.came(conn)
+		}
 	}
 	p.ready = append(p.ready, a)
 }
--- a/internal/session/lanes.go
+++ b/internal/session/lanes.go
@@ -49,7 +49,7 @@
 	roomy     bool         // a lane may be had by one who waits
 	turn      int          // the office whose turn it is to have it first
 	scratch   []*state.Lane
-	unsafe    unsafe
+	without   without
 	opened    uint64 // lanes
 	waited    uint64 // set-ups that waited for room
 	refused   uint64 // set-ups that were refused for want of it
@@ -58,9 +58,17 @@
 	mostFollowed int
 }
 
-// unsafe takes guards away, for tests that show what they are for.
-type unsafe struct {
-	shareTaken, spill, keepLost, crossGiveUp, noBound, forgetHolder, cutHeld, wait bool
+// without takes guards away, for tests that show what each is for.
+type without struct {
+	shareTaken   bool // the length of a call, for which it has its lane to itself
+	spill        bool // waiting for room, in place of the main connection
+	keepLost     bool // releasing again what went on a lane that was lost
+	crossGiveUp  bool // a give-up behind its set-up
+	noBound      bool // the number of lanes
+	forgetHolder bool // giving a lane back
+	cutHeld      bool // calls on a lane that is there, while the main connection is not
+	waitOn       bool // the end of waiting
+	clearOwn     bool // a caller's own lane, while it is connected
 }
 
 // followed is what is kept of a call for pooling, until nothing more is to be told of it.
@@ -257,7 +265,7 @@
 	}
 	l := s.laneAs(pick, c, o, true)
 	if l == nil {
-		if n.unsafe.spill {
+		if n.without.spill {
 			return &o.Lane
 		}
 		if o.Room == nil {
@@ -274,7 +282,7 @@
 	case pooling.Any:
 		return &o.Lane
 	case pooling.Taken:
-		if s.lanes.unsafe.shareTaken && len(o.Lanes) > 0 {
+		if s.lanes.without.shareTaken && len(o.Lanes) > 0 {
 			return o.Lanes[0]
 		}
 		if k := len(o.Free); k > 0 {
@@ -308,7 +316,7 @@
 func (s *Session) newLane(o *state.Office) *state.Lane {
 	n := &s.lanes
 	most := max(1, min(n.sockets/lanePart, n.sockets/2-laneSpare-len(s.offices.All())))
-	if n.unsafe.noBound {
+	if n.without.noBound {
 		most = math.MaxInt
 	}
 	if here := len(o.Lanes) >= max(1, most/laneOffice); (here || n.count >= most) && !s.clearLane(o, here) {
@@ -328,7 +336,7 @@
 	var idle *state.Lane
 	look := func(o *state.Office) {
 		for _, l := range o.Lanes {
-			if l.Loose() && l.Conn != nil && (idle == nil || l.Idle < idle.Idle) {
+			if (l.Loose() || s.lanes.without.clearOwn && l.Quiet()) && l.Conn != nil && (idle == nil || l.Idle < idle.Idle) {
 				idle = l
 			}
 		}
@@ -358,7 +366,7 @@
 		s.noRoom(c.ID, at.N)
 		return
 	}
-	if !s.lanes.unsafe.wait {
+	if !s.lanes.without.waitOn {
 		s.setTimer(until, state.Timer{Kind: state.TimerRoom, ID: c.ID, N: int32(at.N)})
 	}
 }
@@ -408,7 +416,7 @@
 	if l.Number == 0 {
 		return
 	}
-	if l.Idle = s.now; l.Holder == call && !s.lanes.unsafe.forgetHolder {
+	if l.Idle = s.now; l.Holder == call && !s.lanes.without.forgetHolder {
 		l.Holder = 0
 		l.To.Free = append(l.To.Free, l)
 	}
@@ -422,7 +430,7 @@
 	if f != nil && !n.watch {
 		// A give-up goes behind its set-up. Guards against one that overtakes it on another connection: the office would pass
 		// it over, and then work for nobody while the call is tried again elsewhere.
-		if f.stood && n.laner.Lane(s.now, &f.call, pooling.End) == pooling.Any || !f.stood && n.unsafe.crossGiveUp {
+		if f.stood && n.laner.Lane(s.now, &f.call, pooling.End) == pooling.Any || !f.stood && n.without.crossGiveUp {
 			l = another(l)
 		}
 	}
@@ -503,7 +511,7 @@
 		return
 	}
 	s.laneOver(l)
-	if s.lanes.unsafe.keepLost {
+	if s.lanes.without.keepLost {
 		return
 	}
 	for call, e := range inOrder(o.Ended) {
@@ -534,6 +542,11 @@
 	s.lanes.roomy = true
 }
 
+// holds tells whether a call stands on a connection that is there.
+func (s *Session) holds(st *state.Standing) bool {
+	return st.On.Conn != nil && !s.lanes.without.cutHeld
+}
+
 // watchLanes ends lanes that bring nothing whole, or nothing any more, and those that nobody needs; and looks for releases
 // that were not heard.
 func (s *Session) watchLanes(stoodStill bool) {
--- a/internal/session/offices.go
+++ b/internal/session/offices.go
@@ -318,7 +318,7 @@
 // the ones whose own connection has ended.
 func (s *Session) cut(o *state.Office, before int64, lost bool) {
 	for _, st := range inOrder(o.Standing) {
-		if st.Since >= before || lost && st.On.Conn != nil {
+		if st.Since >= before || lost && s.holds(st) {
 			continue
 		}
 		s.over[st.ID] = s.now
@@ -377,7 +377,7 @@
 	}
 	if o.Lost != 0 && s.now-o.Lost >= within {
 		for call, st := range o.Standing { // if it comes back with them, they stand for nobody
-			if st.On.Conn == nil {
+			if !s.holds(st) {
 				o.Ended[call] = state.Ending{Cause: wire.CauseCut, At: s.now}
 			}
 		}
