--- a/internal/session/offices.go
+++ b/internal/session/offices.go
@@ -1,10 +1,14 @@
 package session
 
 import (
+	"context"
 	"errors"
+	"log/slog"
 	"math"
+	"slices"
 
 	"pewterwheel/decide"
+	"pewterwheel/internal/pooling"
 	"pewterwheel/internal/state"
 	"pewterwheel/internal/wire"
 )
@@ -20,6 +24,7 @@
 	errUsed     = errors.New("set-up under an id in use")
 	errNothing  = errors.New("nothing asked for in time")
 	errOdd      = errors.New("too much that cannot be read")
+	errIdle     = errors.New("nothing to carry any more")
 )
 
 // attempt sends a call's set-up to an office, over a connection that is opened first if there is none.
@@ -42,16 +47,30 @@
 			Outcome: decide.Unsent, Final: c.Answered, Load: decide.NoLoad()})
 		return
 	}
-	at := c.Try(office, s.now)
+	l := &office.Lane
+	if s.lanes.laner != nil {
+		l = s.laneFor(c, office)
+	}
+	at := c.Try(l, s.now)
 	c.Attempt = at
 	s.setTimer(c.Deadline, state.Timer{Kind: state.TimerAttempt, ID: c.ID, N: int32(at.N)})
-	if office.Conn != nil {
+	s.putOn(at)
+}
+
+// putOn writes an attempt's set-up to its connection, or lets it wait for that.
+func (s *Session) putOn(at *state.Attempt) {
+	l := at.On
+	if l.Conn != nil {
 		s.put(at)
 		return
 	}
 	at.Queued = true
-	office.Queue = append(office.Queue, at)
-	s.connect(office)
+	l.Queue = append(l.Queue, at)
+	if l == l.To.Room {
+		s.awaitRoom(at)
+		return
+	}
+	s.connect(l)
 }
 
 // EndHearer is a Decider that may want to be told of the end of each call that stood, by an event of kind decide.Over.
@@ -62,7 +81,7 @@
 
 // standOver tells the module that a call which had begun stands no more, if it hears of that.
 func (s *Session) standOver(call uint64) {
-	if h, ok := s.node.(EndHearer); ok && h.HearsEnds() {
+	if s.hearer != nil && s.hearer.HearsEnds() {
 		s.event(decide.Event{Kind: decide.Over, Call: decide.CallID(call)})
 	}
 }
@@ -72,10 +91,10 @@
 	at.Queued = false
 	// An earlier attempt there may have been given up unheard. Guards against taking the end of the call that
 	// stands for an answer to that.
-	delete(at.Office.Ended, at.Call.ID)
-	o := at.Office
-	o.Out[at.Call.ID] = at
-	box := s.officeBox(o)
+	l := at.On
+	delete(l.To.Ended, at.Call.ID)
+	l.Out[at.Call.ID] = at
+	box := s.officeBox(l)
 	out, err := at.Call.SetUp.AppendOnward(box.Bytes, at.Call.ID, at.Call.Deadline-s.now)
 	if err != nil {
 		at.Failed = true // it is too long for any office
@@ -86,17 +105,17 @@
 }
 
 // officeBox is where messages for an office are written.
-func (s *Session) officeBox(o *state.Office) *state.Outbox {
-	if len(o.Box.Bytes) > maxBox {
-		s.writeOffice(o)
+func (s *Session) officeBox(l *state.Lane) *state.Outbox {
+	if len(l.Box.Bytes) > maxBox {
+		s.writeOffice(l)
 	}
-	return s.box(o, &o.Box)
+	return s.box(l, &l.Box)
 }
 
 // toOffice releases a call at an office, if it is connected.
-func (s *Session) toOffice(o *state.Office, call uint64, cause byte) {
-	if o.Conn != nil {
-		box := s.officeBox(o)
+func (s *Session) toOffice(l *state.Lane, call uint64, cause byte) {
+	if l.Conn != nil {
+		box := s.officeBox(l)
 		box.Bytes = wire.AppendRelease(box.Bytes, call, cause, 0)
 	}
 }
@@ -109,9 +128,12 @@
 // endedWith also tells what the office said of itself, and when its message came.
 func (s *Session) endedWith(at *state.Attempt, o decide.Outcome, m wire.Message, when int64) {
 	c := at.Call
-	delete(at.Office.Out, c.ID)
+	delete(at.On.Out, c.ID)
+	if at.On.Number != 0 {
+		s.laneFreed(at.On, c.ID)
+	}
 	c.Attempt = nil
-	e := decide.Event{Kind: decide.Ended, Call: decide.CallID(c.ID), Server: at.Office.ID, Attempt: at.N,
+	e := decide.Event{Kind: decide.Ended, Call: decide.CallID(c.ID), Server: at.On.To.ID, Attempt: at.N,
 		Took: max(0, when-at.Since), Outcome: o, Final: c.Answered, Full: m.Overload(), Load: m.Load()}
 	if o == decide.Failed && m.Cause() == wire.CauseBusy {
 		e.Busy, e.Key = true, c.SetUp.Number
@@ -125,68 +147,77 @@
 // giveUp ends an attempt from our side. The office is told; an answer that crosses this finds nobody.
 func (s *Session) giveUp(at *state.Attempt, o decide.Outcome) {
 	if at.Queued {
-		queue := at.Office.Queue
+		queue := at.On.Queue
 		for i := range queue {
 			if queue[i] == at {
-				at.Office.Queue = append(queue[:i:i], queue[i+1:]...)
+				at.On.Queue = append(queue[:i:i], queue[i+1:]...)
 				break
 			}
 		}
 	} else {
-		s.endAt(at.Office, at.Call.ID, wire.CauseNormal)
+		s.endAt(at.On, at.Call.ID, wire.CauseNormal)
 	}
 	s.ended(at, o)
 }
 
 // endAt releases a call at an office, or gives its set-up up there, on this connection or the next.
-func (s *Session) endAt(o *state.Office, call uint64, cause byte) {
+func (s *Session) endAt(l *state.Lane, call uint64, cause byte) {
+	o := l.To
 	if o.State == decide.Removed {
 		return
 	}
+	if s.lanes.laner != nil {
+		l = s.laneToEnd(l, call)
+	}
 	if len(o.Ended) < maxEndings {
-		o.Ended[call] = state.Ending{Cause: cause, At: s.now}
+		o.Ended[call] = state.Ending{Cause: cause, At: s.now, On: l.Number}
 	}
-	if o.Conn != nil {
-		s.toOffice(o, call, cause)
+	if l.Conn != nil {
+		s.toOffice(l, call, cause)
 	} else {
 		s.redial(o)
 	}
 }
 
-func (s *Session) fromOffice(o *state.Office, m wire.Message, at int64) {
+func (s *Session) fromOffice(l *state.Lane, m wire.Message, at int64) {
 	if m.Bad {
 		// Where a parameter does not fit, nothing behind it on this connection can be relied on.
 		s.Counters[state.BadIn]++
-		s.drop(o.Conn, errSpoilt)
+		s.drop(l.Conn, errSpoilt)
 		return
 	}
 	switch m.Type {
 	case wire.TypeAnswer:
-		s.officeAnswered(o, m, at)
+		s.officeAnswered(l, m, at)
 	case wire.TypeRelease:
-		s.officeReleased(o, m, at)
+		s.officeReleased(l, m, at)
 	case wire.TypeHeard:
-		delete(o.Ended, m.Call)
+		delete(l.To.Ended, m.Call)
+		if s.lanes.laner != nil {
+			s.endHeard(l, m.Call)
+		}
 	case wire.TypeGroup:
 		// Comes unasked, again and again; the module draws by the free lines.
-		if o.Told != 0 {
-			s.pulsed(at - o.Told)
+		if l.Told != 0 {
+			s.pulsed(at - l.Told)
+		}
+		if l.Told = at; l.Number != 0 && l.To.Conn != nil {
+			break // it comes on the main connection, too
 		}
-		o.Told = at
-		s.event(decide.Event{Kind: decide.Checked, Server: o.ID, Outcome: decide.OK, Load: m.Load()})
+		s.event(decide.Event{Kind: decide.Checked, Server: l.To.ID, Outcome: decide.OK, Load: m.Load()})
 	case wire.TypeProgress, wire.TypeTested:
 	default:
 		s.Counters[state.BadIn]++
 	}
 }
 
-func (s *Session) officeAnswered(o *state.Office, m wire.Message, when int64) {
-	at := o.Out[m.Call]
+func (s *Session) officeAnswered(l *state.Lane, m wire.Message, when int64) {
+	o, at := l.To, s.outAt(l, m.Call)
 	if at == nil {
 		_, ended := o.Ended[m.Call]
-		if st := s.stands[m.Call]; !ended && (st == nil || st.Office != o) {
+		if st := s.stands[m.Call]; !ended && (st == nil || st.On.To != o) {
 			s.Counters[state.BadIn]++
-			s.endAt(o, m.Call, wire.CauseNormal) // it stands there for nobody
+			s.endAt(l, m.Call, wire.CauseNormal) // it stands there for nobody
 		}
 		return
 	}
@@ -195,26 +226,28 @@
 		// The call stands there, with nothing that its caller could use. Guards against passing on as served
 		// what no office made. officeLost releases it on the next connection.
 		s.Counters[state.BadIn]++
-		s.drop(o.Conn, errSpoilt)
+		s.drop(l.Conn, errSpoilt)
 		return
 	}
 	s.Counters[state.AnswersBack]++
-	c := at.Call
-	delete(o.Out, c.ID)
+	c, l := at.Call, at.On
+	delete(l.Out, c.ID)
 	c.Attempt = nil
 	s.event(decide.Event{Kind: decide.Begun, Call: decide.CallID(c.ID), Server: o.ID, Attempt: at.N,
 		Took: max(0, when-at.Since)})
 	if c.Answered {
 		s.forget(c)
 		s.standOver(c.ID)
-		s.endAt(o, c.ID, wire.CauseNormal)
+		s.endAt(l, c.ID, wire.CauseNormal)
+		s.laneFreed(l, c.ID)
 		return
 	}
 	s.answered(c)
 	s.forget(c)
 	if !s.tellAnswer(c.From, c.ID, description) {
 		s.standOver(c.ID)
-		s.endAt(o, c.ID, wire.CauseNormal) // nobody knows that it stands
+		s.endAt(l, c.ID, wire.CauseNormal) // nobody knows that it stands
+		s.laneFreed(l, c.ID)
 		return
 	}
 	s.Counters[state.AnswersOut]++
@@ -222,19 +255,22 @@
 	s.good(c.From)
 	delete(s.over, c.ID)
 	st := s.pool.Standing()
-	*st = state.Standing{ID: c.ID, Office: o, From: c.From, Since: s.now}
+	*st = state.Standing{ID: c.ID, On: l, From: c.From, Since: s.now}
 	s.stands[c.ID], o.Standing[c.ID] = st, st
 	c.From.Stands++
+	if s.lanes.laner != nil {
+		s.stood(l, c.ID, description)
+	}
 }
 
 // unheard ends a call whose answer did not reach its caller: nobody knows that it stands.
 func (s *Session) unheard(call uint64) {
 	if st := s.stands[call]; st != nil {
 		s.Counters[state.AnswersOut]--
-		o := st.Office
+		l := st.On
 		s.over[call] = s.now
 		s.endStanding(st)
-		s.endAt(o, call, wire.CauseNormal)
+		s.endAt(l, call, wire.CauseNormal)
 	}
 }
 
@@ -245,27 +281,40 @@
 }{wire.CauseFull: {decide.Rejected, state.FullBack}, wire.CauseMoot: {decide.Unsent, state.Moot},
 	wire.CauseCut: {decide.Cut, state.Resets}}
 
-func (s *Session) officeReleased(o *state.Office, m wire.Message, when int64) {
-	box := s.officeBox(o)
+func (s *Session) officeReleased(l *state.Lane, m wire.Message, when int64) {
+	hear := l
+	if s.lanes.laner != nil {
+		hear = s.laneToHear(l, m.Call)
+	}
+	box := s.officeBox(hear)
 	box.Bytes = wire.AppendHeard(box.Bytes, m.Call)
-	cause := m.Cause()
-	if at := o.Out[m.Call]; at != nil {
+	o, cause := l.To, m.Cause()
+	if at := s.outAt(l, m.Call); at != nil {
 		ended, ok := outcomes[cause]
 		if !ok {
 			ended.o, ended.c = decide.Failed, state.ErrorsBack
 		}
 		s.Counters[ended.c]++
+		if s.lanes.laner != nil {
+			s.saw(pooling.Failed, m.Call, cause, nil)
+		}
 		s.endedWith(at, ended.o, m, when)
 		return
 	}
 	if _, ours := o.Ended[m.Call]; ours {
 		delete(o.Ended, m.Call) // it crossed our own
+		if s.lanes.laner != nil {
+			s.endHeard(l, m.Call)
+		}
 		return
 	}
 	if st := s.stands[m.Call]; st != nil {
-		if st.Office != o {
+		if st.On.To != o {
 			return // it was given up here and stands elsewhere: its end there is what counts
 		}
+		if s.lanes.laner != nil {
+			s.saw(pooling.EndedThere, m.Call, cause, nil)
+		}
 		s.endStanding(st)
 		s.tellEnd(m.Call, cause, st.From)
 	} else if _, known := s.over[m.Call]; !known && s.calls[m.Call] == nil {
@@ -278,14 +327,18 @@
 	s.standOver(st.ID)
 	delete(s.stands, st.ID)
 	st.From.Stands--
-	delete(st.Office.Standing, st.ID)
+	delete(st.On.To.Standing, st.ID)
+	if s.lanes.laner != nil {
+		s.stoodOn(st)
+	}
 	s.pool.Ended(st)
 }
 
-// cut releases towards their callers the calls that stood before a time at an office which is no more.
-func (s *Session) cut(o *state.Office, before int64) {
+// cut releases towards their callers the calls that stood before a time at an office which is no more, or, lost, of those
+// the ones whose own connection has ended.
+func (s *Session) cut(o *state.Office, before int64, lost bool) {
 	for _, st := range inOrder(o.Standing) {
-		if st.Since >= before {
+		if st.Since >= before || lost && s.holds(st) {
 			continue
 		}
 		s.over[st.ID] = s.now
@@ -299,52 +352,64 @@
 
 // ---- connections to offices ----
 
-func (s *Session) connect(o *state.Office) {
-	if o.Conn == nil && o.Dialling == 0 {
-		o.Dialling = s.dial(o.Address.String(), o)
+func (s *Session) connect(l *state.Lane) {
+	if l.Conn == nil && l.Dialling == 0 {
+		l.Dialling = s.dial(l.To.Address.String(), l)
 	}
 }
 
-func (s *Session) officeOpen(o *state.Office, conn state.Conn) {
-	o.Dialling, o.Backoff, o.Lost, o.In, o.Unreached = 0, 0, 0, nil, false
+func (s *Session) officeOpen(l *state.Lane, conn state.Conn) {
+	o := l.To
+	if l.Dialling, l.In = 0, nil; l.Number == 0 {
+		o.Backoff, o.Lost, o.Unreached = 0, 0, false
+	}
 	if o.State == decide.Removed {
 		_ = conn.Close() // nothing was written to it
-		s.unreached(o)
+		s.unreached(l)
+		s.laneOver(l)
 		return
 	}
-	o.Conn, o.Opened, o.Heard, o.Told = conn, s.now, s.now, 0
-	s.roles[conn] = o
-	for call, e := range inOrder(o.Ended) {
-		s.toOffice(o, call, e.Cause)
+	l.Conn, l.Opened, l.Heard, l.Told = conn, s.now, s.now, 0
+	s.roles[conn] = l
+	if l.Number == 0 {
+		s.endHere(l)
 	}
-	queue := o.Queue
-	o.Queue = nil
+	queue := l.Queue
+	l.Queue = nil
 	for _, at := range queue {
 		s.put(at)
 	}
 }
 
-func (s *Session) officeUnreached(o *state.Office, err error) {
-	o.Dialling, o.Unreached = 0, true
-	s.log.Warn("office unreached", "office", o.ID, "error", err)
-	s.unreached(o)
+func (s *Session) officeUnreached(l *state.Lane, err error) {
+	o := l.To
+	l.Dialling = 0
+	s.log.Warn("office unreached", "office", o.ID, "lane", l.Number, "error", err)
+	s.unreached(l)
+	if l.Number != 0 {
+		s.laneOver(l)
+		return
+	}
+	o.Unreached = true
 	within := int64(lostFor)
 	if errors.Is(err, errDialTime) {
 		within = silentFor
 	}
 	if o.Lost != 0 && s.now-o.Lost >= within {
-		for call := range o.Standing { // if it comes back with them, they stand for nobody
-			o.Ended[call] = state.Ending{Cause: wire.CauseCut, At: s.now}
+		for call, st := range o.Standing { // if it comes back with them, they stand for nobody
+			if !s.holds(st) {
+				o.Ended[call] = state.Ending{Cause: wire.CauseCut, At: s.now}
+			}
 		}
-		s.cut(o, math.MaxInt64)
+		s.cut(o, math.MaxInt64, true)
 	}
 	s.redialLater(o)
 }
 
 // unreached ends the set-ups that wait for a connection: nothing of them has been sent.
-func (s *Session) unreached(o *state.Office) {
-	queue := o.Queue
-	o.Queue = nil
+func (s *Session) unreached(l *state.Lane) {
+	queue := l.Queue
+	l.Queue = nil
 	for _, at := range queue {
 		s.Counters[state.Unreached]++
 		s.ended(at, decide.Unreached)
@@ -353,21 +418,32 @@
 
 // officeLost ends what was open on a connection. Calls that stand outlive it: the office sends their releases
 // on the next one, which is opened at once.
-func (s *Session) officeLost(o *state.Office, err error) {
-	o.Conn, o.In = nil, nil
-	s.writeOffice(o) // nobody is there: what was to be written has not left
-	s.log.Warn("office connection ended", "office", o.ID, "out", len(o.Out), "standing", len(o.Standing), "error", err)
-	for _, at := range inOrder(o.Out) {
+func (s *Session) officeLost(l *state.Lane, err error) {
+	o := l.To
+	l.Conn, l.In = nil, nil
+	s.writeOffice(l) // nobody is there: what was to be written has not left
+	level := slog.LevelWarn
+	if errors.Is(err, errIdle) {
+		level = slog.LevelDebug
+	}
+	s.log.Log(context.Background(), level, "office connection ended", "office", o.ID, "lane", l.Number, "out", len(l.Out), "standing", len(o.Standing), "error", err)
+	for _, at := range inOrder(l.Out) {
 		if at.Failed {
 			s.Counters[state.Unreached]++
 			s.ended(at, decide.Unreached)
 			continue
 		}
 		s.Counters[state.Resets]++
-		o.Ended[at.Call.ID] = state.Ending{Cause: wire.CauseNormal, At: s.now}
+		o.Ended[at.Call.ID] = state.Ending{Cause: wire.CauseNormal, At: s.now, On: l.Number}
+		if s.lanes.laner != nil {
+			s.saw(pooling.LaneLost, at.Call.ID, 0, nil)
+		}
 		s.ended(at, decide.Cut)
 	}
-	if len(o.Standing) > 0 && o.Lost == 0 {
+	if s.lanes.laner != nil {
+		s.laneLost(l)
+	}
+	if len(o.Standing) > 0 && o.Lost == 0 && o.Conn == nil {
 		o.Lost = s.now
 	}
 	s.redial(o)
@@ -383,13 +459,13 @@
 }
 
 // mute tells whether a connection brings nothing any more.
-func (s *Session) mute(o *state.Office) bool {
+func (s *Session) mute(l *state.Lane) bool {
 	if s.pulse == 0 {
 		return false
 	}
-	due := o.Told + s.pulse
-	overdue := o.Told != 0 && o.Heard < due && s.now >= due+max(lateTold, s.pulse/latePart)
-	return overdue || s.now-o.Heard >= max(officeSilence, s.pulse+s.pulse/2)
+	due := l.Told + s.pulse
+	overdue := l.Told != 0 && l.Heard < due && s.now >= due+max(lateTold, s.pulse/latePart)
+	return overdue || s.now-l.Heard >= max(officeSilence, s.pulse+s.pulse/2)
 }
 
 // watchOffices ends connections to offices on which a message has begun and does not end, or nothing comes any more.
@@ -398,21 +474,29 @@
 	stoodStill := s.now-s.watched > 2*watch
 	s.watched = s.now
 	for _, o := range s.offices.All() {
-		switch {
-		case o.Conn == nil:
-		case len(o.In) > 0 && s.now-o.Partial >= wholeWithin:
-			s.Counters[state.BadIn]++
-			s.drop(o.Conn, errPartial)
-		case len(o.Out)+len(o.Standing) > 0 && !stoodStill && s.mute(o):
-			s.drop(o.Conn, errMute)
-		}
+		s.watchOffice(&o.Lane, len(o.Standing), stoodStill)
+	}
+	if s.lanes.laner != nil {
+		s.watchLanes(stoodStill)
+	}
+}
+
+// watchOffice ends a connection at which so many calls stand if it brings nothing any more, or nothing whole.
+func (s *Session) watchOffice(l *state.Lane, stand int, stoodStill bool) {
+	switch {
+	case l.Conn == nil:
+	case len(l.In) > 0 && s.now-l.Partial >= wholeWithin:
+		s.Counters[state.BadIn]++
+		s.drop(l.Conn, errPartial)
+	case len(l.Out)+stand > 0 && !stoodStill && s.mute(l):
+		s.drop(l.Conn, errMute)
 	}
 }
 
 // redial connects again where calls stand or releases wait; else the next set-up does.
 func (s *Session) redial(o *state.Office) {
 	if o.State != decide.Removed && (len(o.Standing) > 0 || len(o.Ended) > 0) && s.now >= o.NotUntil {
-		s.connect(o)
+		s.connect(&o.Lane)
 	}
 }
 
@@ -431,24 +515,35 @@
 	if !g.Removed {
 		before = o.Started
 	}
-	s.cut(o, before)
-	if o.Conn != nil && o.Opened >= before {
+	s.cut(o, before, false)
+	for _, l := range slices.Clone(o.Lanes) {
+		s.laneGone(l, before)
+	}
+	s.laneGone(&o.Lane, before)
+}
+
+// laneGone ends a connection to an office, or to one life of it, that is over.
+func (s *Session) laneGone(l *state.Lane, before int64) {
+	if l.Conn != nil && l.Opened >= before {
 		return
 	}
-	if o.Conn != nil {
-		s.writeOffice(o)
-		delete(s.roles, o.Conn)
-		_ = o.Conn.Close() // its end is what is asked for
-		o.Conn = nil
+	if l.Conn != nil {
+		s.writeOffice(l)
+		delete(s.roles, l.Conn)
+		_ = l.Conn.Close() // its end is what is asked for
+		l.Conn = nil
 	}
-	for _, at := range inOrder(o.Out) {
+	for _, at := range inOrder(l.Out) {
 		s.Counters[state.Resets]++
 		s.ended(at, decide.Cut)
 	}
-	clear(o.Ended)
-	if o.Dialling != 0 { // it may lead to the old address
-		delete(s.dials, o.Dialling)
-		o.Dialling = 0
+	if l.Number == 0 {
+		clear(l.To.Ended)
+	}
+	if l.Dialling != 0 { // it may lead to the old address
+		delete(s.dials, l.Dialling)
+		l.Dialling = 0
 	}
-	s.unreached(o)
+	s.unreached(l)
+	s.laneOver(l)
 }
