Count broken rules in windows since the start, as the judgement of stages reads them

The meter told what each window added, while stages take a window's figure for a rising count: a second broken rule of the same size in a new process would have passed for an old one. Window.Broken now counts since the process's start.

--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -34,7 +34,7 @@
 	Class  []ClassFigures
 	CPU    int64  // microseconds of processor time used
 	Memory int64  // bytes resident at its end
-	Broken uint64 // counters that must stay 0, summed
+	Broken uint64 // counters that must stay 0, summed, as they stand since the process's start
 
 	rest fields
 }
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -52,7 +52,6 @@
 	broken  atomic.Uint64
 	calls   map[decide.CallID]open
 	last    []fleet.ClassFigures // as Read gave them before
-	was     uint64               // broken, then
 }
 
 // New returns a meter in front of a decider. Names are those of the settings' classes.
@@ -199,9 +198,7 @@
 // Read gives what was counted since the last Read, as the calls' part of a window. Figures that change while it reads are in
 // this one or the next.
 func (m *Meter) Read() fleet.Window {
-	broken := m.broken.Load()
-	w := fleet.Window{Broken: broken - m.was, Class: make([]fleet.ClassFigures, len(m.figures))}
-	m.was = broken
+	w := fleet.Window{Broken: m.broken.Load(), Class: make([]fleet.ClassFigures, len(m.figures))}
 	for i := range m.figures {
 		f, last, c := &m.figures[i], &m.last[i], &w.Class[i]
 		c.Name = m.names[i]
