--- /dev/null
+++ b/internal/fleettest/checks.go
@@ -0,0 +1,372 @@
+package fleettest
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+)
+
+// Check runs every check that holds of a history whatever was done to the processes.
+func Check(events []Event) []Violation {
+	var vs []Violation
+	for _, check := range []func([]Event) []Violation{OneHolder, Permits, Records, Stages, Verdicts} {
+		vs = append(vs, check(events)...)
+	}
+	return vs
+}
+
+// of picks the events of a kind, and what the rig did.
+func of(events []Event, kind string) []Event {
+	var some []Event
+	for _, e := range events {
+		if e.Kind == kind || e.Kind == "rig" {
+			some = append(some, e)
+		}
+	}
+	return some
+}
+
+// over tells whether an event ends a life: what it held is held by nobody from then on.
+func over(e Event) bool { return e.Kind == "rig" && (e.What == "kill" || e.What == "end") }
+
+// hold is a stretch in which one life alone may act on a thing.
+type hold struct {
+	thing, who string
+	fence      uint64
+	from, to   int64
+}
+
+// acted is when a holder looked at what it holds, before it acted: N tells how much of it was left then. What the machine
+// does to a process between its look and its act is what the number is for.
+func acted(e Event) int64 {
+	if e.Until != 0 && e.N > 0 {
+		return e.Until - e.N
+	}
+	return e.At
+}
+
+// OneHolder checks that no two lives hold a thing at one moment, that each new holder has a higher number, and that nobody
+// acts on what it does not hold. A grant counts until it runs out, is given up, or its holder dies.
+func OneHolder(events []Event) []Violation {
+	var vs []Violation
+	var all []*hold
+	open := map[string]*hold{} // by thing and life
+	for _, e := range of(events, "lease") {
+		key := e.Thing + "\x00" + e.Who()
+		h := open[key]
+		switch {
+		case over(e):
+			for _, h := range all {
+				if h.who == e.Who() {
+					h.to = min(h.to, e.At)
+				}
+			}
+		case e.What == "granted" || e.What == "renewed":
+			if h == nil || h.fence != e.Fence || h.to < e.At {
+				h = &hold{e.Thing, e.Who(), e.Fence, e.At, e.At}
+				open[key], all = h, append(all, h)
+			}
+			h.to = max(h.to, e.Until)
+		case e.What == "released" || e.What == "lost":
+			if h != nil {
+				h.to = min(h.to, e.At)
+			}
+		case e.What == "acting":
+			if h == nil || h.fence != e.Fence {
+				vs = append(vs, Violation{"one-holder", fmt.Sprintf("%s acts on %s under %d, which it was not granted", e.Who(), e.Thing, e.Fence)})
+			} else if at := acted(e); at > h.to {
+				vs = append(vs, Violation{"one-holder", fmt.Sprintf("%s acts on %s under %d, %d us after its grant ran out", e.Who(), e.Thing, e.Fence, at-h.to)})
+			}
+		}
+	}
+	slices.SortStableFunc(all, func(a, b *hold) int { return int(max(-1, min(1, a.from-b.from))) })
+	last := map[string]*hold{} // of each thing, the one that lasts longest
+	high := map[string]*hold{}
+	for _, h := range all {
+		if l := last[h.thing]; l != nil && l.who != h.who && h.from < l.to {
+			vs = append(vs, Violation{"one-holder", fmt.Sprintf("%s is held by %s under %d until %.6f, and by %s under %d from %.6f",
+				h.thing, l.who, l.fence, float64(l.to)/1e6, h.who, h.fence, float64(h.from)/1e6)})
+		}
+		if l := high[h.thing]; l != nil && (h.fence < l.fence || h.fence == l.fence && h.who != l.who) {
+			vs = append(vs, Violation{"fence", fmt.Sprintf("%s got %s under %d after %s had it under %d", h.who, h.thing, h.fence, l.who, l.fence)})
+		}
+		if l := last[h.thing]; l == nil || h.to > l.to {
+			last[h.thing] = h
+		}
+		if l := high[h.thing]; l == nil || h.fence > l.fence {
+			high[h.thing] = h
+		}
+	}
+	return vs
+}
+
+// Permits checks the permits of every number by a sweep over time: never more out than the lines that the record of the
+// fence in force has. A permit is out until it is returned, runs out, or its keeper has noted a new number of lines above it.
+func Permits(events []Event) []Violation {
+	var vs []Violation
+	type permit struct {
+		n, until int64
+		fence    uint64
+	}
+	out, lines := map[string]map[string]permit{}, map[string]int64{}
+	for _, e := range of(events, "keeper") {
+		if e.Kind == "rig" {
+			continue // a permit outlives its keeper: those who have it go by it until it runs out
+		}
+		if out[e.Thing] == nil {
+			out[e.Thing] = map[string]permit{}
+		}
+		id := fmt.Sprint(e.Fence, " ", e.Text)
+		switch e.What {
+		case "lines":
+			lines[e.Thing] = e.N
+		case "permit":
+			if _, twice := out[e.Thing][id]; twice {
+				vs = append(vs, Violation{"permits", fmt.Sprintf("permit %s of %s is granted twice", id, e.Thing)})
+			}
+			out[e.Thing][id] = permit{e.N, e.Until, e.Fence}
+			sum := int64(0)
+			for other, p := range out[e.Thing] {
+				if p.until < e.At {
+					delete(out[e.Thing], other)
+					continue
+				}
+				sum += p.n
+			}
+			if most, told := lines[e.Thing]; told && sum > most {
+				vs = append(vs, Violation{"permits", fmt.Sprintf("%s has %d lines, and %d are permitted once %s gave %d under %d", e.Thing, most, sum, e.Who(), e.N, e.Fence)})
+			}
+		case "returned":
+			delete(out[e.Thing], id)
+		}
+	}
+	return vs
+}
+
+// RecordOp is what a keeper's record of a number went through, as porcupine's model has it.
+type RecordOp struct {
+	What  string // "lines", "grant", "return", "expire"
+	Fence uint64
+	ID    string
+	N     int64
+}
+
+// record is the model's state. Out is kept as text, so that states can be compared.
+type record struct {
+	fence uint64
+	lines int64
+	sum   int64
+	out   string // the permits that are out, " id=n" each
+}
+
+// stepRecord is the model: a grant needs the highest fence that there was and room for it; a return or an end gives back
+// what is out, and nothing else.
+func stepRecord(s record, op RecordOp) (bool, record) {
+	mark := fmt.Sprintf(" %d/%s=%d;", op.Fence, op.ID, op.N)
+	switch op.What {
+	case "lines":
+		if op.Fence < s.fence {
+			return false, s
+		}
+		s.fence, s.lines = op.Fence, op.N
+		return true, s
+	case "grant":
+		if op.Fence < s.fence || s.sum+op.N > s.lines || strings.Contains(s.out, mark) {
+			return false, s
+		}
+		s.fence, s.sum, s.out = op.Fence, s.sum+op.N, s.out+mark
+		return true, s
+	}
+	if i := strings.Index(s.out, mark); i >= 0 {
+		s.sum, s.out = s.sum-op.N, s.out[:i]+s.out[i+len(mark):]
+		return true, s
+	}
+	return op.What == "expire", s // what was returned has nothing left to run out
+}
+
+var recordModel = porcupine.Model{
+	Init: func() any { return record{} },
+	Step: func(state, input, _ any) (bool, any) {
+		ok, next := stepRecord(state.(record), input.(RecordOp))
+		return ok, next
+	},
+	DescribeOperation: func(input, _ any) string { return fmt.Sprintf("%+v", input) },
+}
+
+// Records checks that the record of every number is linearizable: that there is one order of all that its keepers did, in
+// which each did what the record then allowed, whichever process had it. A return counts from when it was sent ("gave") to
+// when the keeper noted it ("returned"); what runs out does so at its time.
+func Records(events []Event) []Violation {
+	ops, gave := map[string][]porcupine.Operation{}, map[string]int64{}
+	clients := map[string]int{}
+	var things []string
+	for _, e := range of(events, "keeper") {
+		id := fmt.Sprint(e.Thing, " ", e.Fence, " ", e.Text)
+		op := RecordOp{What: e.What, Fence: e.Fence, ID: e.Text, N: e.N}
+		from := e.At
+		switch e.What {
+		case "lines":
+			op.ID = ""
+		case "permit":
+			op.What = "grant"
+		case "gave":
+			gave[id] = e.At
+			continue
+		case "returned":
+			op.What = "return"
+			if at, told := gave[id]; told {
+				from = min(from, at)
+			}
+		default:
+			continue
+		}
+		if clients[e.Who()] == 0 {
+			clients[e.Who()] = len(clients) + 1
+		}
+		if ops[e.Thing] == nil {
+			things = append(things, e.Thing)
+		}
+		ops[e.Thing] = append(ops[e.Thing], porcupine.Operation{ClientId: clients[e.Who()], Input: op, Call: from, Return: e.At})
+		if op.What == "grant" && e.Until > 0 {
+			end := op
+			end.What = "expire"
+			ops[e.Thing] = append(ops[e.Thing], porcupine.Operation{ClientId: 0, Input: end, Call: e.Until, Return: e.Until})
+		}
+	}
+	var vs []Violation
+	for _, thing := range things {
+		switch porcupine.CheckOperationsTimeout(recordModel, ops[thing], 20*time.Second) {
+		case porcupine.Illegal:
+			vs = append(vs, Violation{"record", fmt.Sprintf("no order of the %d operations on %s is one that a record allows", len(ops[thing]), thing)})
+		case porcupine.Unknown:
+			vs = append(vs, Violation{"record", fmt.Sprintf("whether the record of %s is linearizable was not decided in time", thing)})
+		}
+	}
+	return vs
+}
+
+// Stages checks each change: stages are opened in order and none twice but by one who takes it up again, one is open at a
+// time, none opens after the change was halted or ended, and conductors have growing numbers.
+func Stages(events []Event) []Violation {
+	type change struct {
+		stage int64
+		fence uint64
+		open  bool
+		over  string
+	}
+	var vs []Violation
+	all := map[string]*change{}
+	bad := func(e Event, format string, args ...any) {
+		vs = append(vs, Violation{"stages", fmt.Sprintf("change %s: ", e.Thing) + fmt.Sprintf(format, args...)})
+	}
+	for _, e := range of(events, "stage") {
+		c := all[e.Thing]
+		if c == nil {
+			c = &change{}
+			all[e.Thing] = c
+		}
+		switch e.What {
+		case "stage":
+			switch {
+			case c.over != "":
+				bad(e, "%s opens stage %d after the change was %s", e.Who(), e.N, c.over)
+			case e.Fence < c.fence:
+				bad(e, "%s opens stage %d under %d after %d", e.Who(), e.N, e.Fence, c.fence)
+			case c.open && e.N != c.stage:
+				bad(e, "%s opens stage %d while %d is open", e.Who(), e.N, c.stage)
+			case e.N == c.stage && e.Fence == c.fence:
+				bad(e, "%s repeats stage %d", e.Who(), e.N)
+			case e.N > c.stage+1:
+				bad(e, "%s skips from stage %d to %d", e.Who(), c.stage, e.N)
+			case e.N < c.stage:
+				bad(e, "%s goes back from stage %d to %d", e.Who(), c.stage, e.N)
+			}
+			c.stage, c.fence, c.open = max(c.stage, e.N), max(c.fence, e.Fence), true
+		case "passed":
+			if !c.open || e.N != c.stage {
+				bad(e, "%s passes stage %d, which is not open", e.Who(), e.N)
+			}
+			c.open = false
+		case "halted", "ended":
+			if c.over != "" && c.over != e.What {
+				bad(e, "it was %s, and then %s", c.over, e.What)
+			}
+			c.over, c.fence = e.What, max(c.fence, e.Fence)
+		}
+	}
+	return vs
+}
+
+// Verdicts checks what processes held of a client: a witness brings every process that hears of it to the lowest verdict,
+// and nobody raises it again on the same or an earlier lot of evidence. N of a verdict is its height, 1 the lowest; Fence is
+// the number of the client's lot, which a witness takes up by one.
+func Verdicts(events []Event) []Violation {
+	var vs []Violation
+	seen := map[string]uint64{} // by life and client: the lot of the newest witness that it knows
+	for _, e := range of(events, "pooling") {
+		key := e.Who() + " " + e.Thing
+		switch e.What {
+		case "witness":
+			seen[key] = max(seen[key], e.Fence)
+		case "verdict":
+			if e.N > 1 && e.Fence < seen[key] {
+				vs = append(vs, Violation{"verdict", fmt.Sprintf("%s raises %s to %d on lot %d, and knows a witness of lot %d", e.Who(), e.Thing, e.N, e.Fence, seen[key])})
+			}
+		}
+	}
+	return vs
+}
+
+// KnownWithin checks that what one process noted of each thing was noted by every process that lived on, within a bound from
+// its first note, or from healed if that was later.
+func KnownWithin(events []Event, kind, what string, processes []string, healed int64, within time.Duration) []Violation {
+	first, known := map[string]int64{}, map[string]map[string]int64{}
+	var things []string
+	for _, e := range of(events, kind) {
+		if e.Kind != kind || e.What != what {
+			continue
+		}
+		if known[e.Thing] == nil {
+			things = append(things, e.Thing)
+			first[e.Thing], known[e.Thing] = e.At, map[string]int64{}
+		}
+		if _, had := known[e.Thing][e.Process]; !had {
+			known[e.Thing][e.Process] = e.At
+		}
+	}
+	var vs []Violation
+	for _, thing := range things {
+		by := max(first[thing], healed) + within.Microseconds()
+		for _, p := range processes {
+			if at, had := known[thing][p]; !had {
+				vs = append(vs, Violation{"known", fmt.Sprintf("%s never noted %s of %s", p, what, thing)})
+			} else if at > by {
+				vs = append(vs, Violation{"known", fmt.Sprintf("%s noted %s of %s %d ms late", p, what, thing, (at-by)/1000)})
+			}
+		}
+	}
+	return vs
+}
+
+// ViewsAgree checks what processes say of each other at one moment: each knows the same, and that is what it should.
+func ViewsAgree(views map[string]string, want string) []Violation {
+	var vs []Violation
+	for _, name := range sorted(views) {
+		if views[name] != want {
+			vs = append(vs, Violation{"views", fmt.Sprintf("%s sees %q, and %q is so", name, views[name], want)})
+		}
+	}
+	return vs
+}
+
+func sorted[V any](m map[string]V) []string {
+	var names []string
+	for n := range m {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/internal/fleettest/checks_test.go
@@ -0,0 +1,210 @@
+package fleettest
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+// parse makes events of lines "MS PROCESS KIND WHAT THING fence=N until=MS n=N text=WORD": a hand-made history.
+func parse(t *testing.T, text string) (events []Event) {
+	t.Helper()
+	for _, line := range strings.Split(strings.TrimSpace(text), "\n") {
+		words := strings.Fields(line)
+		e := Event{At: number(t, words[0]) * 1000, Process: words[1], Life: 1, Kind: words[2], What: words[3]}
+		for _, w := range words[4:] {
+			key, value, is := strings.Cut(w, "=")
+			switch {
+			case !is:
+				e.Thing = w
+			case key == "fence":
+				e.Fence = uint64(number(t, value))
+			case key == "until":
+				e.Until = number(t, value) * 1000
+			case key == "n":
+				e.N = number(t, value)
+			case key == "life":
+				e.Life = int(number(t, value))
+			default:
+				e.Text = value
+			}
+		}
+		events = append(events, e)
+	}
+	return events
+}
+
+func number(t *testing.T, s string) (n int64) {
+	t.Helper()
+	for _, c := range s {
+		must(t, c >= '0' && c <= '9', s, "is no number")
+		n = n*10 + int64(c-'0')
+	}
+	return n
+}
+
+// Hand-made histories: each bad one breaks just the rule that it is to break, and each good one none.
+func TestChecks(t *testing.T) {
+	for name, c := range map[string]struct{ history, want string }{
+		"one after the other": {`
+			10 a lease granted x fence=1 until=100
+			50 a lease renewed x fence=1 until=150
+			160 b lease granted x fence=2 until=300
+			170 b lease acting x fence=2
+			200 b rig kill
+			210 a lease granted x fence=3 until=400`, ""},
+		"given up, and another thing": {`
+			10 a lease granted x fence=1 until=100
+			20 a lease released x fence=1
+			21 b lease granted x fence=2 until=100
+			22 a lease granted y fence=1 until=100`, ""},
+		"two at once": {`
+			10 a lease granted x fence=1 until=100
+			90 b lease granted x fence=2 until=200`, "one-holder: x is held by a#1 under 1 until 0.100000, and by b#1 under 2 from 0.09"},
+		"a renewal comes too late": {`
+			10 a lease granted x fence=1 until=100
+			120 b lease granted x fence=2 until=200
+			130 a lease renewed x fence=1 until=230`, "one-holder: x is held by b#1"},
+		"a later life acts on an earlier one's grant": {`
+			10 a lease granted x fence=1 until=100
+			20 a rig kill
+			30 a lease acting x fence=1 life=2`, "a#2 acts on x under 1, which it was not granted"},
+		"wakes and acts": {`
+			10 a lease granted x fence=1 until=100
+			20 a rig stop
+			200 a rig cont
+			201 a lease acting x fence=1`, "a#1 acts on x under 1, 101000 us after its grant ran out"},
+		"the same number twice": {`
+			10 a lease granted x fence=4 until=100
+			110 b lease granted x fence=4 until=200`, "fence: b#1 got x under 4 after a#1 had it under 4"},
+		"a number falls": {`
+			10 a lease granted x fence=4 until=100
+			110 b lease granted x fence=3 until=200`, "fence: b#1 got x under 3 after a#1 had it under 4"},
+		"permits within the lines": {`
+			1 k keeper lines n/1 fence=1 n=4
+			2 k keeper permit n/1 fence=1 n=3 until=50 text=p1
+			9 b keeper gave n/1 fence=1 n=3 text=p1
+			10 k keeper returned n/1 fence=1 n=3 text=p1
+			11 k keeper permit n/1 fence=1 n=4 until=60 text=p2
+			70 l keeper lines n/1 fence=2 n=4
+			71 l keeper permit n/1 fence=2 n=4 until=90 text=p3`, ""},
+		"more permits than lines": {`
+			1 k keeper lines n/1 fence=1 n=4
+			2 k keeper permit n/1 fence=1 n=3 until=50 text=p1
+			3 k keeper permit n/1 fence=1 n=2 until=50 text=p2`, "permits: n/1 has 4 lines, and 5 are permitted"},
+		"the next keeper forgets what is out": {`
+			1 k keeper lines n/1 fence=1 n=4
+			2 k keeper permit n/1 fence=1 n=4 until=500 text=p1
+			70 l keeper lines n/1 fence=2 n=4
+			71 l keeper permit n/1 fence=2 n=1 until=90 text=p2`, "record: no order of the"},
+		"a permit twice": {`
+			1 k keeper lines n/1 fence=1 n=4
+			2 k keeper permit n/1 fence=1 n=1 until=50 text=p1
+			3 k keeper permit n/1 fence=1 n=1 until=50 text=p1`, "permits: permit 1 p1 of n/1 is granted twice"},
+		"what was never given comes back": {`
+			1 k keeper lines n/1 fence=1 n=4
+			2 k keeper permit n/1 fence=1 n=1 until=50 text=p1
+			3 k keeper returned n/1 fence=1 n=4 text=p9`, "record: no order of the 4 operations on n/1"},
+		"an old keeper goes on": {`
+			1 k keeper lines n/1 fence=1 n=4
+			2 l keeper lines n/1 fence=2 n=4
+			3 k keeper permit n/1 fence=1 n=1 until=50 text=p1`, "record: no order of the 4 operations on n/1"},
+		"stages in order, taken up by the next": {`
+			1 a stage stage 7 fence=1 n=1
+			2 a stage passed 7 fence=1 n=1
+			3 a stage stage 7 fence=1 n=2
+			4 b stage stage 7 fence=2 n=2
+			5 b stage passed 7 fence=2 n=2
+			6 b stage ended 7 fence=2`, ""},
+		"a stage skipped": {`
+			1 a stage stage 7 fence=1 n=1
+			2 a stage passed 7 fence=1 n=1
+			3 a stage stage 7 fence=1 n=3`, "stages: change 7: a#1 skips from stage 1 to 3"},
+		"a stage repeated": {`
+			1 a stage stage 7 fence=1 n=1
+			2 a stage passed 7 fence=1 n=1
+			3 a stage stage 7 fence=1 n=1`, "stages: change 7: a#1 repeats stage 1"},
+		"two stages open": {`
+			1 a stage stage 7 fence=1 n=1
+			3 b stage stage 7 fence=2 n=2`, "stages: change 7: b#1 opens stage 2 while 1 is open"},
+		"after its halt": {`
+			1 a stage stage 7 fence=1 n=1
+			2 a stage halted 7 fence=1
+			3 b stage stage 7 fence=2 n=1`, "stages: change 7: b#1 opens stage 1 after the change was halted"},
+		"a conductor of before": {`
+			1 a stage stage 7 fence=2 n=1
+			3 b stage stage 7 fence=1 n=1`, "stages: change 7: b#1 opens stage 1 under 1 after 2"},
+		"raised anew on later evidence": {`
+			1 a pooling witness till fence=2
+			2 a pooling verdict till fence=2 n=1
+			3 b pooling verdict till fence=1 n=3
+			9 a pooling verdict till fence=3 n=2`, ""},
+		"raised past a witness": {`
+			1 a pooling witness till fence=2
+			2 a pooling verdict till fence=1 n=3`, "verdict: a#1 raises till to 3 on lot 1, and knows a witness of lot 2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			vs := Check(parse(t, c.history))
+			if c.want == "" {
+				must(t, len(vs) == 0, vs)
+				return
+			}
+			must(t, len(vs) > 0, "nothing was found")
+			text := ""
+			for _, v := range vs {
+				text += v.String() + "\n"
+			}
+			must(t, strings.Contains(text, c.want), text)
+		})
+	}
+}
+
+func TestKnownWithin(t *testing.T) {
+	events := parse(t, `
+		10 a pooling witness till
+		900 b pooling witness till
+		5000 c pooling witness till`)
+	all := []string{"a", "b", "c"}
+	must(t, len(KnownWithin(events, "pooling", "witness", all, 4_000_000, 2*time.Second)) == 0, "it was in time, counted from the healing")
+	for _, c := range []struct {
+		who  []string
+		want string
+	}{{all, "c noted witness of till 2990 ms late"}, {[]string{"a", "d"}, "d never noted witness of till"}} {
+		vs := KnownWithin(events, "pooling", "witness", c.who, 0, 2*time.Second)
+		must(t, len(vs) == 1 && strings.Contains(vs[0].Text, c.want), vs)
+	}
+}
+
+// A schedule is drawn by its seed alone, and is the same after it was written and read.
+func TestSchedules(t *testing.T) {
+	seen := map[string]bool{}
+	for seed := range uint64(50) {
+		s := Draw(seed, 8, 10, 100)
+		again, err := Read("# a comment\n" + s.String())
+		must(t, err == nil && again.String() == s.String() && Draw(seed, 8, 10, 100).String() == s.String(), err, s)
+		dead, still := map[int]bool{}, map[int]bool{}
+		for _, step := range s {
+			seen[step.Do] = true
+			for _, w := range step.Who {
+				switch step.Do {
+				case "kill", "term":
+					must(t, !dead[w] && !still[w], "what does not live ends", s)
+					dead[w] = true
+				case "start":
+					must(t, dead[w], "what lives is started", s)
+					delete(dead, w)
+				case "stop":
+					still[w] = true
+				case "cont":
+					delete(still, w)
+				}
+			}
+		}
+		must(t, len(dead)+len(still) == 0, "not all live at the end", s)
+	}
+	must(t, len(seen) == len(deeds), "drawn were only", seen)
+	for _, text := range []string{"x cut 1", "1 hug 2", "1 cut 2,z", "1"} {
+		_, err := Read(text)
+		must(t, err != nil, text)
+	}
+}
--- a/internal/fleettest/relay.go
+++ b/internal/fleettest/relay.go
@@ -420,6 +420,3 @@
 	}
 	r.work.Wait()
 }
-
-// patience is only for a broken program: nothing is judged by how fast it comes.
-const patience = 30 * time.Second
