--- a/internal/agent/claimer.go
+++ b/internal/agent/claimer.go
@@ -3,7 +3,9 @@
 package agent
 
 import (
+	"maps"
 	"math"
+	"slices"
 
 	"pewterwheel/internal/failpoint"
 	"pewterwheel/internal/fleet"
@@ -23,12 +25,12 @@
 	last   lease.Grant
 }
 
-// NewClaimer returns a claimer; nil: the failpoint is off.
-func NewClaimer(l lease.Lessor) *Claimer {
-	if failpoint.Value("claim") == "" {
+// NewClaimer returns a claimer; none if the failpoint is off.
+func NewClaimer(l lease.Lessor) []fleet.Part {
+	if l == nil || failpoint.Value("claim") == "" {
 		return nil
 	}
-	return &Claimer{Lessor: l, thing: failpoint.Value("claim"), next: math.MaxInt64}
+	return []fleet.Part{&Claimer{Lessor: l, thing: failpoint.Value("claim"), next: math.MaxInt64}}
 }
 
 // Kind is one that nobody speaks.
@@ -67,3 +69,55 @@
 
 // Figures has none.
 func (c *Claimer) Figures(func(string, uint64, bool)) {}
+
+// Watcher notes what its process sees of each process, itself included, whenever that changes: the life as Fence, the state in
+// N, with 10 more if it is suspected, and the version as Text. One that is no longer in the view is "unseen".
+type Watcher struct{ seen map[string]fleet.Note }
+
+// NewWatcher returns a watcher that has seen nobody.
+func NewWatcher() *Watcher { return &Watcher{map[string]fleet.Note{}} }
+
+// View compares a view with the last.
+func (w *Watcher) View(_ int64, v *fleet.View, out *fleet.Out) {
+	here := map[string]bool{}
+	for i := range v.Members {
+		m := &v.Members[i]
+		n := fleet.Note{Kind: w.Kind(), What: "sees", Thing: m.Name, Fence: m.Incarnation, N: int64(m.State), Text: m.Program}
+		if m.Suspect {
+			n.N += 10
+		}
+		if here[m.Name] = true; w.seen[m.Name] != n {
+			w.seen[m.Name] = n
+			out.Notes = append(out.Notes, n)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(w.seen)) {
+		if !here[name] {
+			n := w.seen[name]
+			n.What = "unseen"
+			out.Notes = append(out.Notes, n)
+			delete(w.seen, name)
+		}
+	}
+}
+
+// Kind is one that nobody speaks.
+func (w *Watcher) Kind() fleet.Kind { return 254 }
+
+// Start does nothing.
+func (w *Watcher) Start(int64, *fleet.Out) {}
+
+// Tick is never called.
+func (w *Watcher) Tick(int64, *fleet.Out) {}
+
+// Next is never.
+func (w *Watcher) Next() int64 { return math.MaxInt64 }
+
+// Message brings nothing.
+func (w *Watcher) Message(int64, fleet.Message, *fleet.Out) {}
+
+// Done is of nothing that it asked for.
+func (w *Watcher) Done(int64, fleet.Act, error, *fleet.Out) {}
+
+// Figures has none.
+func (w *Watcher) Figures(func(string, uint64, bool)) {}
--- a/internal/fleettest/checks.go
+++ b/internal/fleettest/checks.go
@@ -12,7 +12,7 @@
 // Check runs every check that holds of a history whatever was done to the processes.
 func Check(events []Event) []Violation {
 	var vs []Violation
-	for _, check := range []func([]Event) []Violation{OneHolder, Permits, Records, Stages, Verdicts} {
+	for _, check := range []func([]Event) []Violation{OneHolder, Lives, Permits, Records, Stages, Verdicts} {
 		vs = append(vs, check(events)...)
 	}
 	return vs
@@ -369,12 +369,64 @@
 	return vs
 }
 
-// ViewsAgree checks what processes say of each other at one moment: each knows the same, and that is what it should.
-func ViewsAgree(views map[string]string, want string) []Violation {
+// suspected is what is added to the state, in N of what is seen, of a process that is.
+const suspected = 10
+
+// Lives checks what processes see of each other: never an earlier life after a later one, and nobody taken for gone who was
+// not told to end.
+func Lives(events []Event) []Violation {
+	var vs []Violation
+	last, ends := map[string]Event{}, map[string]bool{}
+	for _, e := range of(events, "fleet") {
+		key := e.Who() + " " + e.Thing
+		switch was, had := last[key]; {
+		case e.Kind == "rig":
+			ends[e.Process] = ends[e.Process] || e.What == "term"
+		case e.What == "sees":
+			if had && e.Fence < was.Fence {
+				vs = append(vs, Violation{"lives", fmt.Sprintf("%s sees life %d of %s after life %d", e.Who(), e.Fence, e.Thing, was.Fence)})
+			}
+			last[key] = e
+		case e.What == "unseen":
+			if had && !ends[e.Thing] {
+				vs = append(vs, Violation{"lives", fmt.Sprintf("%s takes %s for gone, life %d, which nobody has ended", e.Who(), e.Thing, was.Fence)})
+			}
+		}
+	}
+	return vs
+}
+
+// Views checks what processes see at the end of a history: those that run see each other as each sees itself, unsuspected, and
+// suspect or no longer see all others.
+func Views(events []Event, running map[string]bool) []Violation {
+	sees := map[string]map[string]Event{}
+	for _, e := range events {
+		switch {
+		case e.Kind == "rig" && e.What == "start":
+			sees[e.Process] = map[string]Event{}
+		case e.Kind == "fleet" && e.What == "sees" && sees[e.Process] != nil:
+			sees[e.Process][e.Thing] = e
+		case e.Kind == "fleet" && e.What == "unseen" && sees[e.Process] != nil:
+			delete(sees[e.Process], e.Thing)
+		}
+	}
 	var vs []Violation
-	for _, name := range sorted(views) {
-		if views[name] != want {
-			vs = append(vs, Violation{"views", fmt.Sprintf("%s sees %q, and %q is so", name, views[name], want)})
+	bad := func(who, format string, args ...any) {
+		vs = append(vs, Violation{"views", who + " " + fmt.Sprintf(format, args...)})
+	}
+	for _, who := range sorted(running) {
+		for _, other := range sorted(sees) {
+			e, seen := sees[who][other]
+			switch own := sees[other][other]; {
+			case !running[other] && seen && e.N < suspected:
+				bad(who, "sees %s, which does not run", other)
+			case running[other] && !seen:
+				bad(who, "does not see %s", other)
+			case running[other] && e.N >= suspected:
+				bad(who, "suspects %s", other)
+			case running[other] && (e.Fence != own.Fence || e.Text != own.Text):
+				bad(who, "sees life %d of %s, version %s; it is life %d, version %s", e.Fence, other, e.Text, own.Fence, own.Text)
+			}
 		}
 	}
 	return vs
--- a/internal/fleettest/checks_test.go
+++ b/internal/fleettest/checks_test.go
@@ -81,6 +81,20 @@
 		"a number falls": {`
 			10 a lease granted x fence=4 until=100
 			110 b lease granted x fence=3 until=200`, "fence: b#1 got x under 3 after a#1 had it under 4"},
+		"a life after another, and one that goes": {`
+			1 a fleet sees b fence=1 n=2
+			2 a fleet sees b fence=1 n=12
+			3 a fleet sees b fence=2 n=2
+			4 b rig term
+			4 a fleet sees b fence=2 n=14
+			5 a fleet unseen b fence=2 n=14`, ""},
+		"an earlier life shadows a later one": {`
+			1 a fleet sees b fence=2 n=2
+			2 a fleet sees b fence=1 n=2`, "lives: a#1 sees life 1 of b after life 2"},
+		"taken for dead": {`
+			1 a fleet sees b fence=1 n=2
+			2 a fleet sees b fence=1 n=12
+			3 a fleet unseen b fence=1 n=12`, "lives: a#1 takes b for gone"},
 		"permits within the lines": {`
 			1 k keeper lines n/1 fence=1 n=4
 			2 k keeper permit n/1 fence=1 n=3 until=50 text=p1
@@ -227,3 +241,27 @@
 		must(t, err != nil, text)
 	}
 }
+
+func TestViews(t *testing.T) {
+	good := `
+		1 a rig start
+		1 b rig start
+		1 c rig start
+		2 a fleet sees a fence=1 n=2
+		2 b fleet sees b fence=1 n=2
+		3 a fleet sees b fence=1 n=2
+		3 b fleet sees a fence=1 n=2
+		3 a fleet sees c fence=1 n=12`
+	run := map[string]bool{"a": true, "b": true}
+	must(t, len(Views(parse(t, good), run)) == 0, Views(parse(t, good), run))
+	for more, want := range map[string]string{
+		"4 a fleet sees b fence=1 n=12":        "a suspects b",
+		"4 a fleet unseen b":                   "a does not see b",
+		"4 a fleet sees c fence=1 n=2":         "a sees c, which does not run",
+		"4 b fleet sees b fence=2 n=2":         "a sees life 1 of b, version ; it is life 2",
+		"4 a fleet sees b fence=1 n=2 text=v2": "a sees life 1 of b, version v2",
+	} {
+		vs := Views(parse(t, good+"\n"+more), run)
+		must(t, len(vs) == 1 && strings.Contains(vs[0].String(), want), more, vs)
+	}
+}
--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -285,6 +285,7 @@
 	p.f.must(err)
 	p.f.must(p.cmd.Start())
 	p.ended, p.running, p.stopped = make(chan error, 1), true, false
+	p.Caller.Pause(false)
 	p.f.History.Rig(p.Name, p.Life, "start", p.Failpoints)
 	life, ended, cmd := p.Life, p.ended, p.cmd
 	go func() {
@@ -380,9 +381,10 @@
 	p.f.History.Rig(p.Name, p.Life, "kill", "")
 }
 
-// Stop ends a member by SIGTERM: it must end by itself, with all answered.
+// Stop ends a member by SIGTERM: it must end by itself, with all answered. Its caller sends nothing new from then on.
 func (p *Process) Stop() {
 	p.f.t.Helper()
+	p.Caller.Pause(true)
 	p.f.History.Rig(p.Name, p.Life, "term", "")
 	p.Signal(syscall.SIGTERM)
 	select {
@@ -455,3 +457,37 @@
 	}
 	return false
 }
+
+// Figure reads a figure of a member's STATS; -1: there is none.
+func (p *Process) Figure(name string) int {
+	n := -1
+	if _, rest, ok := strings.Cut(p.Ask("STATS", 5*time.Second), "app."+name+":"); ok {
+		_, _ = fmt.Sscanf(rest, "%d", &n)
+	}
+	return n
+}
+
+// Running names the members that run.
+func (f *Fleet) Running() map[string]bool {
+	run := map[string]bool{}
+	for _, p := range f.Process {
+		if p.running {
+			run[p.Name] = true
+		}
+	}
+	return run
+}
+
+// Agree waits until all members that run see each other, unsuspected.
+func (f *Fleet) Agree(when string) {
+	f.t.Helper()
+	var vs []Violation
+	for by := time.Now().Add(patience); ; time.Sleep(50 * time.Millisecond) {
+		if vs = Views(f.History.Events(), f.Running()); len(vs) == 0 {
+			return
+		}
+		if time.Now().After(by) {
+			f.t.Fatalf("views do not agree %s within %v:\n%s", when, patience, Report(vs, nil))
+		}
+	}
+}
--- a/internal/fleettest/history.go
+++ b/internal/fleettest/history.go
@@ -60,7 +60,7 @@
 	Until, N, Mono    int64
 }
 
-var kinds = map[fleet.Kind]string{fleet.Lease: "lease", fleet.Stage: "stage", fleet.Keeper: "keeper", fleet.Pooling: "pooling"}
+var kinds = map[fleet.Kind]string{fleet.Lease: "lease", fleet.Stage: "stage", fleet.Keeper: "keeper", fleet.Pooling: "pooling", 254: "fleet"}
 
 // Line takes a line of a process's log.
 func (h *History) Line(process string, life int, line []byte) {
--- a/internal/standin/roamer.go
+++ b/internal/standin/roamer.go
@@ -25,6 +25,7 @@
 	open   map[uint64]*roaming
 	made   map[uint64]bool
 	ended  bool
+	paused bool
 	counts RoamerCounts
 }
 
@@ -54,6 +55,9 @@
 	return r.counts, len(r.open)
 }
 
+// Pause has the caller send nothing new, as while its sidecar is not there.
+func (r *Roamer) Pause(paused bool) { r.mu.Lock(); defer r.mu.Unlock(); r.paused = paused }
+
 // Made tells whether a call is this caller's.
 func (r *Roamer) Made(id uint64) bool { r.mu.Lock(); defer r.mu.Unlock(); return r.made[id] }
 
@@ -78,11 +82,11 @@
 	}
 }
 
-// Call sends a set-up to a called number. It returns its id; 0: nobody took the connection.
+// Call sends a set-up to a called number. It returns its id; 0: nobody took the connection, or the caller pauses.
 func (r *Roamer) Call(class, number string, wait time.Duration) uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.ended {
+	if r.ended || r.paused {
 		return 0
 	}
 	if r.pipe == nil {
