--- a/internal/stage/rules.go
+++ b/internal/stage/rules.go
@@ -42,6 +42,9 @@
 
 const second = int64(1_000_000)
 
+// Whole is the rules with the defaults in place of zero values.
+func (r Rules) Whole() Rules { return r.whole() }
+
 func (r Rules) whole() Rules {
 	or(&r.Baseline, 120*second)
 	or(&r.Warm, 30*second)
