Keepers: tests of the front, the sketch and the messages, and a leaner sketch

The touch of the sketch looked at four cells of 56 bytes with a key each; a set is now one cache line of hashes and counts, and the table answers most look-ups from a bitmap.

--- a/internal/fleetsim/keepers/world.go
+++ b/internal/fleetsim/keepers/world.go
@@ -26,6 +26,7 @@
 	Skew      float64 // how unevenly the processes share the demand; 0: evenly
 	Off       bool    // without keepers
 	Oracle    bool    // an all-seeing keeper instead: a call is tried when a line is free, else refused
+	Spread    int     // processes that a number's calls come to; 0: all
 	Turns     int64   // so long one number is asked for, then the next; 0: all at once
 	Seed      uint64
 	Keeper    keeper.Config // what all have in common
@@ -176,6 +177,7 @@
 		return
 	}
 	cfg := w.Cfg.Keeper
+	cfg.Poll = max(cfg.Poll, 250_000) // parts are woken
 	cfg.Self, cfg.Life = p.Name, p.Life
 	p.Lessor = &Lessor{Court: w.Court, Name: p.Name}
 	cfg.Lessor = p.Lessor
@@ -326,6 +328,9 @@
 		x -= w.Procs[i].share
 		i++
 	}
+	if w.Cfg.Spread > 0 {
+		i = (n*7919 + w.rng.IntN(w.Cfg.Spread)) % len(w.Procs)
+	}
 	p := w.Procs[i]
 	p.awake(func() {
 		if !p.Dead {
--- a/internal/keeper/front.go
+++ b/internal/keeper/front.go
@@ -1,8 +1,6 @@
 package keeper
 
 import (
-	"github.com/cespare/xxhash/v2"
-
 	"pewterwheel/decide"
 )
 
@@ -118,7 +116,14 @@
 	}
 	switch e.Kind {
 	case decide.Order:
-		return f.order(now, e, out)
+		if e.Key == "" || len(e.Key) > maxKey {
+			break
+		}
+		hash := hashOf(e.Key)
+		f.sketch.touch(hash, now)
+		if s := f.table.find(hash, e.Key); s != nil && f.calls[e.Call] == nil {
+			return f.order(now, s, e, out)
+		}
 	case decide.Fired:
 		if e.Token&frontToken != 0 {
 			f.armed = false
@@ -153,6 +158,9 @@
 			return out
 		}
 	}
+	if len(f.calls) == 0 {
+		return f.inner.Step(now, e, out)
+	}
 	return f.forward(now, e, out)
 }
 
@@ -178,16 +186,8 @@
 	return out
 }
 
-func (f *Front) order(now int64, e decide.Event, out []decide.Action) []decide.Action {
-	if e.Key == "" || len(e.Key) > maxKey {
-		return f.forward(now, e, out)
-	}
-	hash := xxhash.Sum64String(e.Key)
-	f.sketch.touch(hash, e.Key, now)
-	s := f.table.find(hash, e.Key)
-	if s == nil || f.calls[e.Call] != nil {
-		return f.forward(now, e, out)
-	}
+// order takes a call to a number in contention.
+func (f *Front) order(now int64, s *slot, e decide.Event, out []decide.Action) []decide.Action {
 	f.Counts.Hot++
 	s.wanted.Add(1)
 	if len(f.calls) >= maxTracked {
@@ -373,11 +373,9 @@
 
 // ranOut notes a busy end of a number that is not in the table.
 func (f *Front) ranOut(now int64, key string) {
-	hash := xxhash.Sum64String(key)
-	c := f.sketch.touch(hash, key, now)
-	c.count--
-	if c.busy++; c.busy >= busySeen && f.table.find(hash, key) == nil {
-		f.queue.push(report{kind: reportSeen, key: key, n: max(c.sure(), c.busy)})
+	hash := hashOf(key)
+	if busy, orders := f.sketch.ranOut(hash, now); busy >= busySeen && f.table.find(hash, key) == nil {
+		f.queue.push(report{kind: reportSeen, key: key, n: max(orders, busy)})
 	}
 }
 
--- /dev/null
+++ b/internal/keeper/front_test.go
@@ -0,0 +1,521 @@
+package keeper
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pewterwheel/decide"
+	"pewterwheel/internal/fleet"
+	"pewterwheel/internal/lease"
+)
+
+// inner is what a front drives in tests: it sends or refuses as it is told, and checks what it hears.
+type inner struct {
+	t       interface{ Fatalf(string, ...any) }
+	seen    map[decide.CallID]bool
+	refuses bool
+	again   bool // a failed attempt is made once more
+}
+
+func (n *inner) Avoids(decide.ServerID) bool { return false }
+
+func (n *inner) Step(_ int64, e decide.Event, out []decide.Action) []decide.Action {
+	switch e.Kind {
+	case decide.Order:
+		n.seen[e.Call] = true
+		if n.refuses {
+			return append(out, decide.Action{Kind: decide.Refuse, Call: e.Call})
+		}
+		return append(out, decide.Action{Kind: decide.Send, Call: e.Call})
+	case decide.Over, decide.Fired:
+		n.t.Fatalf("the inner decider is told of %v, token %x", e.Kind, e.Token)
+	case decide.Ended:
+		if !e.Final && n.again {
+			return append(out, decide.Action{Kind: decide.Send, Call: e.Call})
+		} else if !e.Final {
+			out = append(out, decide.Action{Kind: decide.Fail, Call: e.Call})
+		}
+	case decide.Begun: // of one that is gone and was answered in the same round it may be told
+		if !n.seen[e.Call] {
+			n.t.Fatalf("the inner decider is told of call %d that it does not know", e.Call)
+		}
+	}
+	return out
+}
+
+const hot, cold = "0800111", "0300222"
+
+func settings() decide.Settings {
+	return decide.Settings{Classes: []decide.Class{{Aim: 500_000, Deadline: 2_000_000}}, RetryAdvice: true, MaxRetryAfter: 5_000_000}
+}
+
+// Whatever comes: each call has at most one final answer, each that passes has a permit or goes by share, no permit is used
+// twice, and when all are over no line is held.
+func TestFrontLines(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		table, queue := NewTable(), NewQueue(64)
+		in := &inner{t: rt, seen: map[decide.CallID]bool{}}
+		f := NewFront(Config{Self: "a"}, settings(), in, table, queue)
+		s := newSlot(hot)
+		s.fence.Store(3)
+		s.lost.Store(false)
+		table.replace(map[uint64]*slot{s.hash: s})
+		now, id := int64(10_000_000), decide.CallID(0)
+		state := map[decide.CallID]string{} // waiting, out, stands, gone (its attempt still out)
+		permits, passed := 0, 0
+		armed := false
+		do := func(e decide.Event) {
+			for _, a := range f.Step(now, e, nil) {
+				switch a.Kind {
+				case decide.Send:
+					switch state[a.Call] {
+					case "waiting":
+						passed++
+						state[a.Call] = "out"
+					case "going": // it passed at the moment when its caller left
+						passed++
+						state[a.Call] = "gone"
+					}
+				case decide.Refuse, decide.Fail:
+					if st := state[a.Call]; st != "waiting" && st != "out" && st != "going" {
+						rt.Fatalf("call %d has a final answer while %q", a.Call, st)
+					}
+					delete(state, a.Call)
+				case decide.Timer:
+					armed = true
+				}
+			}
+		}
+		pick := func(want ...string) (decide.CallID, bool) {
+			var ids []decide.CallID
+			for id, st := range state {
+				if slices.Contains(want, st) {
+					ids = append(ids, id)
+				}
+			}
+			if len(ids) == 0 {
+				return 0, false
+			}
+			slices.Sort(ids)
+			return rapid.SampledFrom(ids).Draw(rt, "call"), true
+		}
+		end := func(id decide.CallID, busy bool) {
+			gone := state[id] == "gone"
+			e := decide.Event{Kind: decide.Ended, Call: id, Outcome: decide.Failed, Busy: busy, Key: hot, Final: gone}
+			if gone {
+				delete(state, id)
+			}
+			do(e)
+		}
+		for range rapid.IntRange(1, 120).Draw(rt, "steps") {
+			now += int64(rapid.IntRange(0, 9_000).Draw(rt, "later"))
+			if armed && rapid.Bool().Draw(rt, "fires") {
+				armed = false
+				do(decide.Event{Kind: decide.Fired, Token: frontToken})
+			}
+			switch rapid.IntRange(0, 9).Draw(rt, "what") {
+			case 0, 1, 2:
+				id++
+				state[id] = "waiting"
+				in.refuses, in.again = rapid.Bool().Draw(rt, "refuses"), rapid.Bool().Draw(rt, "again")
+				do(decide.Event{Kind: decide.Order, Call: id, Key: hot, Deadline: now + 2_000_000})
+			case 3:
+				n := rapid.IntRange(1, 3).Draw(rt, "permits")
+				permits += n
+				b := &batch{fence: 3, until: now + 20_000}
+				b.left.Store(int64(n))
+				s.add(b)
+			case 4:
+				if rapid.Bool().Draw(rt, "none") {
+					s.noneUntil.Store(now + 10_000)
+				} else {
+					s.lost.Store(rapid.Bool().Draw(rt, "lost"))
+					s.rate.Store(500_000)
+				}
+			case 5:
+				if id, ok := pick("out"); ok {
+					state[id] = "stands"
+					do(decide.Event{Kind: decide.Begun, Call: id})
+				}
+			case 6:
+				if id, ok := pick("out", "gone"); ok {
+					end(id, rapid.Bool().Draw(rt, "busy"))
+				}
+			case 7:
+				if id, ok := pick("stands"); ok {
+					delete(state, id)
+					do(decide.Event{Kind: decide.Over, Call: id})
+				}
+			case 8:
+				if id, ok := pick("waiting", "out"); ok {
+					if state[id] = map[string]string{"waiting": "going", "out": "gone"}[state[id]]; state[id] == "gone" {
+						do(decide.Event{Kind: decide.Gone, Call: id})
+						break
+					}
+					if do(decide.Event{Kind: decide.Gone, Call: id}); state[id] == "going" {
+						delete(state, id)
+					}
+				}
+			case 9:
+				for len(queue.c) > 0 {
+					(<-queue.c).slot.dirty.Store(false)
+				}
+			}
+			if used := passed - int(f.Counts.Plain); used > permits {
+				rt.Fatalf("%d calls passed with %d permits", used, permits)
+			}
+		}
+		now += 100_000
+		do(decide.Event{Kind: decide.Fired, Token: frontToken})
+		for id, st := range state {
+			switch st {
+			case "waiting":
+				rt.Fatalf("call %d waits past its time", id)
+			case "stands":
+				delete(state, id)
+				do(decide.Event{Kind: decide.Over, Call: id})
+			default:
+				in.again = false
+				end(id, true)
+			}
+		}
+		if s.open.Load() != 0 || s.calls.Load() != 0 || s.held.Load() != 0 || s.plain.Load() != 0 || len(f.calls) != 0 {
+			rt.Fatalf("all calls are over: open %d, calls %d, held %d, plain %d, followed %d", s.open.Load(), s.calls.Load(), s.held.Load(),
+				s.plain.Load(), len(f.calls))
+		}
+	})
+}
+
+// A permit past its expiry, and one of a fence lower than was seen, let nothing through; neither does a grant of either.
+func TestExpiryAndFence(t *testing.T) {
+	for _, c := range []struct {
+		guard string
+		fence uint64
+		until int64
+		later int64
+	}{{"expiry", 3, 900, 900}, {"fence", 2, 5000, 1}} {
+		for _, guarded := range []bool{true, false} {
+			cfg := Config{Self: "a"}
+			if !guarded {
+				cfg = cfg.Without(c.guard)
+			}
+			s := newSlot(hot)
+			s.fence.Store(3)
+			b := &batch{fence: c.fence, until: c.until}
+			b.left.Store(1)
+			s.add(b)
+			if s.take(1000, &cfg.doctor) == guarded {
+				t.Errorf("%s in place %v: the permit is taken %v", c.guard, guarded, guarded)
+			}
+			// The same for what a keeper sends.
+			p := part(t, cfg)
+			var out fleet.Out
+			p.answered(1000, "k", item{Op: opAnswer, Key: hot, Fence: 3}, &out)
+			h := p.hands[hot]
+			p.report(1000, h, &out)
+			p.answered(1000+c.later, "k", item{Op: opAnswer, Key: hot, Fence: c.fence, N: h.n, Permits: 1, Lasts: 900}, &out)
+			if took := h.slot.inHand() == 1; took == guarded {
+				t.Errorf("%s in place %v: the grant is taken %v", c.guard, guarded, took)
+			}
+		}
+	}
+}
+
+// alone is a lessor that grants everything.
+type alone struct{ writes uint64 }
+
+func (a *alone) Claim(int64, string, *fleet.Out)   {}
+func (a *alone) Release(int64, string, *fleet.Out) {}
+func (a *alone) Held(now int64, thing string) (lease.Grant, bool) {
+	return lease.Grant{Fence: 1, Until: now + 4_000_000, Write: a.writes}, true
+}
+func (a *alone) Write(int64, string, []byte, *fleet.Out) (uint64, error) {
+	a.writes++
+	return a.writes, nil
+}
+func (a *alone) Holder(string) (string, uint64) { return "", 0 }
+
+func part(t testing.TB, cfg Config) *Part {
+	cfg.Self, cfg.Lessor = "a", &alone{}
+	p, err := New(cfg, NewTable(), NewQueue(64))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// A report said twice gives no permit more; one that is older than the newest gives none.
+func TestReportOnce(t *testing.T) {
+	cfg := Config{Self: "a", Lines: func(string) int { return 5 }}.fill()
+	b, _ := newBook(&cfg, hot, "x", 0, lease.Grant{Fence: 1})
+	b.stores(1)
+	b.stored()
+	g := lease.Grant{Fence: 1, Until: 4_000_000}
+	ask := func(n uint64, hold, want int64) int64 {
+		q := b.report(1, "p", item{N: n, Life: 1, Hold: hold, Want: want, Rate: 1000})
+		if q == nil {
+			return -1
+		}
+		b.answer(1, q, g)
+		return q.granted
+	}
+	ask(1, 0, 1)
+	b.stores(1)
+	b.stored()
+	for _, step := range []struct {
+		n                uint64
+		hold, want, gets int64
+	}{{2, 0, 2, 2}, {2, 0, 2, 2}, {1, 0, 4, -1}, {3, 2, 9, 3}, {4, 5, 1, 0}, {5, 0, 5, 5}} {
+		if got := ask(step.n, step.hold, step.want); got != step.gets {
+			t.Errorf("report %d: %d permits, want %d", step.n, got, step.gets)
+		}
+	}
+}
+
+// No message is over its bound, and what cannot be read or is out of bounds is counted and passed over.
+func TestMessages(t *testing.T) {
+	var items []item
+	for i := range 100 {
+		items = append(items, item{Op: opReport, Key: fmt.Sprintf("%032d", i), Fence: 1 << 60, N: 1 << 60, Life: 1 << 60, Hold: 1 << 19,
+			Idle: 1 << 19, Calls: 1 << 19, Want: 1 << 19, Rate: 1 << 39, Busy: 1 << 60, Began: 1 << 60, Ended: 1 << 60, Refused: 1 << 60})
+	}
+	var out fleet.Out
+	letters("a", "b", items, &out)
+	var back []item
+	for _, m := range out.Send {
+		got, err := readLetter(m)
+		if len(m.Body) > fleet.MaxBody || err != nil {
+			t.Fatal(len(m.Body), err)
+		}
+		back = append(back, got...)
+	}
+	if !slices.Equal(back, items) {
+		t.Error("what was packed is not what was read")
+	}
+	p := part(t, Config{})
+	for i, bad := range []item{{Op: opAnswer, Key: ""}, {Op: opAnswer, Key: hot, Permits: -1}, {Op: opAnswer, Key: hot, Lasts: 1 << 50},
+		{Op: opAnswer, Key: hot, Hold: 1 << 30}} {
+		var out fleet.Out
+		letters("b", "a", []item{bad, {Op: 200, Key: hot}}, &out)
+		p.Message(1, out.Send[0], &out)
+		if p.counts.unread != uint64(i+1) || len(p.hands) != 0 {
+			t.Errorf("%+v is taken", bad)
+		}
+	}
+	s := said{}
+	for i := range 64 {
+		s.Seen = append(s.Seen, seenBy{fmt.Sprintf("%032d", i), 1 << 39})
+	}
+	if n := len(s.bytes()); n > fleet.MaxBody || n < fleet.MaxBody/2 {
+		t.Errorf("a part of an entry of %d bytes", n)
+	}
+	r := record{Lines: maxFigure, Known: maxFigure, Turn: maxRate, Out: maxFigure}
+	var hs []holder
+	for i := range maxHolders {
+		hs = append(hs, holder{uint32(i), maxCeil})
+	}
+	r.hold(hs)
+	got, err := readRecord(hot, r.bytes())
+	if err != nil || len(got.holders()) != maxHolders || len(r.bytes()) > lease.MaxRecord {
+		t.Errorf("a record of %d bytes is read as %v, %v", len(r.bytes()), got, err)
+	}
+}
+
+func FuzzMessage(f *testing.F) {
+	var out fleet.Out
+	letters("b", "a", []item{{Op: opReport, Key: hot, Fence: 1, N: 1, Want: 1}, {Op: opAnswer, Key: hot, Fence: 9, Permits: 2}}, &out)
+	f.Add(out.Send[0].Body)
+	f.Fuzz(func(t *testing.T, body []byte) {
+		p := part(t, Config{})
+		var out fleet.Out
+		p.Message(1, fleet.Message{Kind: fleet.Keeper, From: "b", To: "a", Body: body}, &out)
+		_, _ = readSaid("b", body)
+		_, _ = readRecord(hot, body)
+	})
+}
+
+// The sketch against a plain map, on numbers drawn by Zipf and on 100,000 that take turns.
+func TestSketch(t *testing.T) {
+	if raceEnabled {
+		t.Skip("sizes and times without the race detector")
+	}
+	const top = 20
+	zipf := rand.NewZipf(rand.New(rand.NewPCG(1, 2)), 1.1, 4, 99_999)
+	turns := rand.New(rand.NewPCG(3, 4))
+	// In turns a hundred numbers are hot for 20 s, then the next hundred; half of the calls go to any of the rest.
+	streams := map[string]func(i int) int{
+		"zipf": func(int) int { return int(zipf.Uint64()) },
+		"turns": func(i int) int {
+			if turns.IntN(2) == 0 {
+				return turns.IntN(100_000)
+			}
+			return (i/20_000*100 + int(20*turns.ExpFloat64())) % 100_000
+		},
+	}
+	for _, name := range []string{"zipf", "turns"} {
+		draw := streams[name]
+		s, plain := &sketch{}, map[string]float64{}
+		hits := 0
+		const calls, rate = 200_000, 1000
+		for i := range calls {
+			now := int64(i) * (1_000_000 / rate)
+			key := fmt.Sprintf("0800%06d", draw(i))
+			s.touch(hashOf(key), now)
+			if now%epoch == 0 {
+				for k := range plain {
+					plain[k] /= 2
+				}
+			}
+			plain[key]++
+			if i%50_000 == 49_999 {
+				hits += overlap(s, plain, top)
+			}
+		}
+		part := float64(hits) / float64(top*calls/50_000)
+		t.Logf("%s: of the %d asked for most the sketch has %.3f; plain map %d entries, sketch %d", name, top, part, len(plain), sketchSets*ways)
+		if part < 0.9 {
+			t.Errorf("%s: recall of %.3f", name, part)
+		}
+	}
+}
+
+// overlap is how many of the most asked for by the sketch are the most asked for by the map, of equals any.
+func overlap(s *sketch, plain map[string]float64, top int) (n int) {
+	keys := sortedKeys(plain)
+	slices.SortStableFunc(keys, func(a, b string) int { return cmp.Compare(plain[b], plain[a]) })
+	most := map[uint64]bool{}
+	for _, k := range keys {
+		if plain[k] >= plain[keys[top-1]] {
+			most[hashOf(k)] = true
+		}
+	}
+	type held struct {
+		hash uint64
+		n    uint32
+	}
+	var cells []held
+	for i := range s.sets {
+		for j, h := range s.sets[i].hash {
+			cells = append(cells, held{h, s.sets[i].sure(j)})
+		}
+	}
+	slices.SortStableFunc(cells, func(a, b held) int { return cmp.Compare(b.n, a.n) })
+	for _, c := range cells[:top] {
+		if most[c.hash] {
+			n++
+		}
+	}
+	return n
+}
+
+// Numbers not in contention cost no allocation.
+func TestColdAllocatesNothing(t *testing.T) {
+	f, keys := coldFront(t)
+	out := make([]decide.Action, 0, 4)
+	i := 0
+	if n := testing.AllocsPerRun(10_000, func() {
+		i++
+		out = f.Step(int64(i), decide.Event{Kind: decide.Order, Call: decide.CallID(i), Key: keys[i%len(keys)]}, out[:0])
+	}); n != 0 {
+		t.Errorf("%g allocations a call", n)
+	}
+}
+
+type nothing struct{}
+
+func (nothing) Step(_ int64, _ decide.Event, out []decide.Action) []decide.Action { return out }
+func (nothing) Avoids(decide.ServerID) bool                                       { return false }
+
+func coldFront(testing.TB) (*Front, []string) {
+	table := NewTable()
+	slots := map[uint64]*slot{}
+	for i := range 100 {
+		s := newSlot(fmt.Sprintf("0900%06d", i))
+		slots[s.hash] = s
+	}
+	table.replace(slots)
+	f := NewFront(Config{Self: "a"}, settings(), nothing{}, table, NewQueue(64))
+	var keys []string
+	for i := range 4096 {
+		keys = append(keys, fmt.Sprintf("0800%06d", i))
+	}
+	return f, keys
+}
+
+// spent reports the processor time of a benchmark beside its time by the clock, which on a shared machine is longer.
+func spent(b *testing.B) func() {
+	used := func() time.Duration {
+		var u syscall.Rusage
+		if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+			b.Fatal(err)
+		}
+		return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+	}
+	was := used()
+	return func() { b.ReportMetric(float64(used()-was)/float64(b.N), "cpu-ns/op") }
+}
+
+func BenchmarkCold(b *testing.B) {
+	for _, c := range []struct {
+		name string
+		n    int
+	}{{"few", 16}, {"many", 4096}} {
+		f, keys := coldFront(b)
+		var inner Inner = nothing{}
+		out := make([]decide.Action, 0, 4)
+		e := decide.Event{Kind: decide.Order, Call: 1}
+		b.Run(c.name+"/front", func(b *testing.B) {
+			b.ReportAllocs()
+			defer spent(b)()
+			for i := range b.N {
+				e.Key = keys[i%c.n]
+				out = f.Step(int64(i), e, out[:0])
+			}
+		})
+		b.Run(c.name+"/without", func(b *testing.B) {
+			defer spent(b)()
+			for i := range b.N {
+				e.Key = keys[i%c.n]
+				out = inner.Step(int64(i), e, out[:0])
+			}
+		})
+	}
+}
+
+func BenchmarkSketch(b *testing.B) {
+	var keys []string
+	for i := range 100_000 {
+		keys = append(keys, fmt.Sprintf("0800%06d", i))
+	}
+	b.Run("sketch", func(b *testing.B) {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		s := &sketch{}
+		defer spent(b)()
+		for i := range b.N {
+			k := keys[i*7919%len(keys)]
+			s.touch(hashOf(k), int64(i))
+		}
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1024, "KB")
+	})
+	b.Run("map", func(b *testing.B) {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		m := map[string]uint32{}
+		defer spent(b)()
+		for i := range b.N {
+			m[keys[i*7919%len(keys)]]++
+		}
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1024, "KB")
+	})
+}
--- a/internal/keeper/hand.go
+++ b/internal/keeper/hand.go
@@ -73,9 +73,7 @@
 	if s == nil {
 		s = newSlot(key)
 	}
-	if !p.table.put(s) {
-		return nil
-	}
+	p.reshelve = true
 	delete(p.past, key)
 	h := &hand{slot: s, heard: now, reckoned: now, due: math.MaxInt64, wanted: s.wanted.Load(), refused: s.refused.Load()}
 	if seen := p.seen[key]; seen != nil {
@@ -88,7 +86,7 @@
 // drop forgets a number. Calls to it are followed to their end: if it comes back while some stand, they count.
 func (p *Part) drop(h *hand) {
 	h.slot.retire(func(*batch) bool { return true })
-	p.table.drop(h.slot)
+	p.reshelve = true
 	delete(p.hands, h.slot.key)
 	if h.slot.open.Load() > 0 && len(p.past) < p.cfg.Numbers {
 		p.past[h.slot.key] = h.slot
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -40,6 +40,7 @@
 	books   map[string]*book // that this process keeps
 	claims  map[string]claim // that it claims
 
+	reshelve bool // the table lacks a number, or has one too many
 	draining bool
 	told     []byte // what stands in the entry
 	toldAt   int64
@@ -305,6 +306,14 @@
 		p.item(now, p.cfg.Self, it, out)
 	}
 	p.local = nil
+	if p.reshelve {
+		p.reshelve = false
+		slots := make(map[uint64]*slot, len(p.hands))
+		for _, h := range p.hands {
+			slots[h.slot.hash] = h.slot
+		}
+		p.table.replace(slots)
+	}
 	if len(p.letters) == 0 {
 		return
 	}
--- /dev/null
+++ b/internal/keeper/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package keeper
+
+const raceEnabled = false
--- a/internal/keeper/table.go
+++ b/internal/keeper/table.go
@@ -1,7 +1,6 @@
 package keeper
 
 import (
-	"maps"
 	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
@@ -9,57 +8,49 @@
 
 // Table is what the loop of calls reads of the numbers in contention: an immutable map behind an atomic pointer. The part
 // puts a new map in place when a number comes or goes; the figures in an entry are atomics.
-type Table struct {
-	slots atomic.Pointer[map[uint64]*slot]
+type Table struct{ shelf atomic.Pointer[shelf] }
+
+// shelf is the entries by hash, and a bit for each that says most of the others are not there at the price of one look.
+type shelf struct {
+	bits  [64]uint64
+	slots map[uint64]*slot
 }
 
 // NewTable returns a table in which no number is.
 func NewTable() *Table {
 	t := &Table{}
-	t.slots.Store(&map[uint64]*slot{})
+	t.shelf.Store(&shelf{})
 	return t
 }
 
 // Len is how many numbers are in it.
-func (t *Table) Len() int { return len(*t.slots.Load()) }
+func (t *Table) Len() int { return len(t.shelf.Load().slots) }
 
 // find returns a number's entry; nil: it is not in contention.
 func (t *Table) find(hash uint64, key string) *slot {
-	if m := *t.slots.Load(); len(m) > 0 {
-		if s := m[hash]; s != nil && s.key == key {
-			return s
-		}
+	b := t.shelf.Load()
+	if b.bits[hash>>58]&(1<<(hash>>52&63)) == 0 {
+		return nil
 	}
-	return nil
-}
-
-// put adds an entry, and drop takes one out; both only by the part. Of two numbers with one hash the first is kept.
-func (t *Table) put(s *slot) bool {
-	old := *t.slots.Load()
-	if old[s.hash] != nil {
-		return false
+	if s := b.slots[hash]; s != nil && s.key == key {
+		return s
 	}
-	m := make(map[uint64]*slot, len(old)+1)
-	maps.Copy(m, old)
-	m[s.hash] = s
-	t.slots.Store(&m)
-	return true
+	return nil
 }
 
-func (t *Table) drop(s *slot) {
-	old := *t.slots.Load()
-	if old[s.hash] != s {
-		return
+// replace puts other entries in place; only the part does.
+func (t *Table) replace(slots map[uint64]*slot) {
+	b := &shelf{slots: slots}
+	for hash := range slots {
+		b.bits[hash>>58] |= 1 << (hash >> 52 & 63)
 	}
-	m := maps.Clone(old)
-	delete(m, s.hash)
-	t.slots.Store(&m)
+	t.shelf.Store(b)
 }
 
 // Holds is what this process holds of a number's lines: calls and set-ups that came under a permit, those that went without
 // one, and permits in hand that are valid yet. It is for staff and tests.
 func (t *Table) Holds(now int64, key string) (open, plain, permits int64) {
-	s := t.find(xxhash.Sum64String(key), key)
+	s := t.find(hashOf(key), key)
 	if s == nil {
 		return 0, 0, 0
 	}
@@ -110,8 +101,10 @@
 	waiting []*call
 }
 
+func hashOf(key string) uint64 { return xxhash.Sum64String(key) }
+
 func newSlot(key string) *slot {
-	s := &slot{hash: xxhash.Sum64String(key), key: key}
+	s := &slot{hash: hashOf(key), key: key}
 	s.batches.Store(&[]*batch{})
 	return s
 }
