--- a/internal/pathcost/cases.go
+++ b/internal/pathcost/cases.go
@@ -189,6 +189,9 @@
 		}
 	}
 	for range 20 {
+		if r.alone {
+			break
+		}
 		if err := r.pass(64); err != nil {
 			return nil, fmt.Errorf("warming up: %w", err)
 		}
--- a/internal/pathcost/pathcost.go
+++ b/internal/pathcost/pathcost.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"pewterwheel/decide"
+	"pewterwheel/internal/pooling"
 	"pewterwheel/internal/service"
 	"pewterwheel/internal/session"
 	"pewterwheel/internal/sidecar"
@@ -58,6 +59,33 @@
 // plantEnv names a cost that is planted, to show that it is seen.
 const plantEnv, plantAllocation, plantWrite = "PEWTERWHEEL_PATHCOST_PLANT", "allocation", "write"
 
+// lanesEnv names the lane that all calls are given: own, taken, any; or watch.
+const lanesEnv = "PEWTERWHEEL_PATHCOST_LANES"
+
+// laned gives every call one kind of lane. What a verdict costs is not in it: that is pooling's own to measure.
+type laned struct{ how string }
+
+// Open, Closed, Keep, Observe and Round are those of a pooling.Laner that keeps nothing.
+func (*laned) Open(int64, pooling.SessionID, string, string) pooling.ClientID { return 1 }
+func (*laned) Closed(int64, pooling.ClientID, pooling.SessionID)              {}
+func (*laned) Keep(int64, pooling.ClientID, pooling.SessionID) bool           { return true }
+func (*laned) Observe(int64, pooling.Observation)                             {}
+func (*laned) Round(int64)                                                    {}
+
+// Lane gives the one kind of lane.
+func (l *laned) Lane(_ int64, c *pooling.Call, k pooling.Kind) pooling.Lane {
+	if k != pooling.SetUp {
+		return pooling.Held
+	}
+	switch c.Lane = pooling.Own; l.how {
+	case "taken":
+		c.Lane = pooling.Taken
+	case "any":
+		c.Lane = pooling.Any
+	}
+	return c.Lane
+}
+
 // coreEnv names the one core on which the program is to run.
 const coreEnv = "PEWTERWHEEL_PATHCOST_CORE"
 
@@ -99,6 +127,14 @@
 			return cfg, err
 		}
 	}
+	if how := os.Getenv(lanesEnv); how != "" {
+		plain := read
+		read = func() (service.Config, error) {
+			cfg, err := plain()
+			cfg.Laner, cfg.Watch = &laned{how}, how == "watch"
+			return cfg, err
+		}
+	}
 	signals := make(chan os.Signal, 1)
 	c := counting{make(chan string, 1)}
 	ended := make(chan error, 1)
--- a/internal/pathcost/pathcost_test.go
+++ b/internal/pathcost/pathcost_test.go
@@ -143,6 +143,46 @@
 	}
 }
 
+// mostLaned is the most allocations that a call on a lane may cost: as many as one without.
+func mostLaned(t *testing.T, c Case) float64 {
+	t.Helper()
+	return bounds(t)[key{"platform", c.Name, "allocations"}]*mayRise + slack["allocations"]
+}
+
+// What lanes cost a call, beside none; told, and held to one bound: no allocation more a call.
+func TestLanesCost(t *testing.T) {
+	for _, how := range []string{"", "watch", "any", "own", "taken"} {
+		cases := Cases[:2]
+		if how == "taken" {
+			cases = Cases[:1] // 64 calls at once would have 64 lanes, and the rig has one
+		}
+		var least map[string]Figures
+		fits := func() bool {
+			return !slices.ContainsFunc(cases, func(c Case) bool { return least[c.Name]["allocations"] > mostLaned(t, c) })
+		}
+		for try := 0; try < 3 && (least == nil || !fits()); try++ {
+			all, err := Play(os.Args[0], []string{lanesEnv + "=" + how}, "platform", t.TempDir(), cases)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if least == nil {
+				least = all
+			}
+			for name, f := range all {
+				for figure, n := range f {
+					least[name][figure] = min(least[name][figure], n)
+				}
+			}
+		}
+		for _, c := range cases {
+			t.Logf("lanes %-6q %-14s %s", how, c.Name, least[c.Name])
+			if most := mostLaned(t, c); least[c.Name]["allocations"] > most {
+				t.Errorf("lanes %q, %s: %.2f allocations a call, %.2f are the bound", how, c.Name, least[c.Name]["allocations"], most)
+			}
+		}
+	}
+}
+
 // The guard sees one allocation and one write more a call.
 func TestPlantedCostIsSeen(t *testing.T) {
 	bound := bounds(t)
--- a/internal/pathcost/play.go
+++ b/internal/pathcost/play.go
@@ -28,6 +28,7 @@
 	class   string
 	plant   string
 	closers []io.Closer
+	alone   bool // one call at a time: each would have a connection to itself
 }
 
 // patience is only for a broken program.
@@ -173,6 +174,22 @@
 		return nil, err
 	}
 	r.closers = append(r.closers, r.office.conn, r.caller.conn)
+	for _, e := range env {
+		if name, how, _ := strings.Cut(e, "="); name == lanesEnv && (how == "own" || how == "taken") {
+			// The first call opens the lane, and all go on that: there is one caller, and at most one call at a time by call.
+			if err := r.caller.write(r.setUp(6 * time.Second)); err != nil {
+				return nil, err
+			}
+			if r.office.conn, err = office.Accept(); err != nil {
+				return nil, err
+			}
+			r.closers = append(r.closers, r.office.conn)
+			r.alone = how == "taken"
+			if err := r.serve(1); err != nil {
+				return nil, err
+			}
+		}
+	}
 	for _, e := range env {
 		if name, what, _ := strings.Cut(e, "="); name == plantEnv {
 			r.plant = what
--- a/internal/session/exchange_test.go
+++ b/internal/session/exchange_test.go
@@ -54,7 +54,7 @@
 
 // player is the world round a session, its clock included.
 type player struct {
-	t      *testing.T
+	t      testing.TB
 	s      *Session
 	now    int64
 	conns  map[string]*fakeConn
@@ -219,7 +219,7 @@
 }
 
 // parse reads the notation of bytes.
-func parse(t *testing.T, text string) []byte {
+func parse(t testing.TB, text string) []byte {
 	var open []int
 	var b []byte
 	for i := 0; i < len(text); i++ {
@@ -276,7 +276,7 @@
 
 func newPlayer(t *testing.T) *player { return newPlayerOf(t, Config{Sockets: 1024, Seed: 7}) }
 
-func newPlayerOf(t *testing.T, cfg Config) *player {
+func newPlayerOf(t testing.TB, cfg Config) *player {
 	p := &player{t: t, conns: map[string]*fakeConn{}, policy: map[string]string{}}
 	var first wire.Known
 	for text, into := range map[string]any{settings: &cfg.Settings, known: &first} {
--- a/internal/session/lanes.go
+++ b/internal/session/lanes.go
@@ -115,9 +115,11 @@
 // follow begins to follow a call that was taken.
 func (s *Session) follow(c *state.Call, class int) {
 	n := &s.lanes
-	f := &followed{}
+	var f *followed
 	if k := len(n.spare); k > 0 {
 		f, n.spare = n.spare[k-1], n.spare[:k-1]
+	} else {
+		f = &followed{}
 	}
 	effect := s.set.Classes[class].Effect
 	f.call = pooling.Call{ID: c.ID, Client: pooling.ClientID(c.From.Client), Session: pooling.SessionID(c.From.Session),
--- /dev/null
+++ b/internal/session/lanes_bench_test.go
@@ -0,0 +1,71 @@
+package session
+
+import (
+	"encoding/binary"
+	"testing"
+
+	"pewterwheel/internal/wire"
+)
+
+// What a call costs the session's own code, from its set-up to the hearing of its end, without sockets.
+func BenchmarkCallOnLanes(b *testing.B) {
+	for _, how := range []string{"off", "watch", "any", "own", "taken"} {
+		b.Run(how, func(b *testing.B) {
+			cfg := Config{Sockets: 1024, Seed: 7, Watch: how == "watch"}
+			l := &fakeLaner{modes: map[string]string{"a": how}, callers: []string{"a"}, opens: "a", mute: true}
+			if how != "off" {
+				cfg.Laner = l
+			}
+			p := newPlayerOf(b, cfg)
+			l.picks, l.p, l.callers = nil, p, nil
+			var on *fakeConn
+			p.wrote = func(c *fakeConn, b []byte) {
+				if c.name[0] == 'o' && b[2] == byte(wire.TypeSetUp) {
+					on = c
+				}
+			}
+			p.step()
+			a := &fakeConn{p: p, name: "a"}
+			p.step(Arrival{Kind: Accepted, Conn: a})
+			bytes := func(m wire.Message) []byte {
+				out, err := m.Append(nil)
+				if err != nil {
+					b.Fatal(err)
+				}
+				return out
+			}
+			up := wire.SetUp{Class: "balance-check", Number: "n/1", Description: make([]byte, 100)}.Onward(1, 5_000_000)
+			up.Params = append(up.Params, wire.Text(wire.ParamInfo, "dest:-1;width:1;via:-1"))
+			texts := [][]byte{bytes(up), bytes(wire.Message{Type: wire.TypeAnswer, Params: []wire.Param{wire.Text(wire.ParamDescription, "d")}}),
+				bytes(wire.ReleaseOf(1, wire.CauseNormal)), bytes(wire.Message{Type: wire.TypeHeard})}
+			var as [1]Arrival
+			var buf [512]byte
+			say := func(c *fakeConn, id uint64, text []byte) {
+				data := buf[:copy(buf[:], text)]
+				binary.BigEndian.PutUint64(data[3:], id)
+				as[0] = Arrival{Kind: Data, At: p.now, Conn: c, Data: data}
+				p.s.Step(p.now, as[:])
+				for len(p.ready) > 0 {
+					ready := p.ready
+					p.ready = nil
+					p.s.Step(p.now, ready)
+				}
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				id := uint64(i + 1)
+				p.now += 1000
+				on = nil
+				say(a, id, texts[0])
+				for on == nil { // the module holds it for a while
+					p.now += 5000
+					p.s.Step(p.now, nil)
+				}
+				say(on, id, texts[1])
+				say(a, id, texts[2])
+				say(on, id, texts[3])
+			}
+		})
+	}
+}
--- a/internal/session/lanes_test.go
+++ b/internal/session/lanes_test.go
@@ -50,7 +50,9 @@
 	case mode == "any":
 		c.Lane = pooling.Any
 	}
-	l.picks[c.ID] = c.Lane
+	if l.picks != nil {
+		l.picks[c.ID] = c.Lane
+	}
 	return c.Lane
 }
 
