Leases, staged changes, keepers and pooling hang on the agent of each member

The parts were built apart; a member now makes them for its life, hands them its clock, their queues, the roster and the change of its file, and carries out apply, back and conclude. A life is taken only after a second in which an earlier one of the same name may be heard of, and the parts are made anew if one is heard of later.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -32,7 +32,10 @@
 	Roster              uint64 // number of the roster it knows
 	Net                 fleetnet.Net
 	Board               *fleet.Board // nil: one of its own
-	Parts               []fleet.Part // one of a kind at the most
+	// Make makes the parts, one of a kind at the most, for a life of this number. They are made when the process has had time to
+	// hear of an earlier life of its own, whose clock may have been ahead; and anew, knowing nothing, if it hears of one later.
+	Make func(life uint64) []fleet.Part
+	Wake <-chan struct{} // asks for a Tick of all parts before it is due; nil: nothing does
 	// Do carries out an act; it may take its time, on a goroutine of the agent's. What came of it goes to Part.Done. nil: every
 	// act fails with an *ActError.
 	Do  func(fleet.Act) error
@@ -51,7 +54,9 @@
 
 const (
 	usualLength = 1_000_000
-	usualQueue  = 1024
+	// settleIn is how long parts are not made after the start.
+	settleIn   = 1_000_000
+	usualQueue = 1024
 	// soonest is the time between two of the own entry, and of two views, at least: parts may tell at every message.
 	soonest = 50_000
 	// acts that run or wait at once; more are refused with an *ActError.
@@ -126,6 +131,7 @@
 	windows []fleet.Window
 	cpu     int64
 	metrics *metrics
+	make    int64   // when parts are to be made; 0: they are
 	failed  []ended // acts that were not begun; told in the next round
 	dirty   bool    // the own entry has to be written
 	told    int64   // when it was last written
@@ -158,7 +164,7 @@
 	if cfg.Do == nil {
 		cfg.Do = func(act fleet.Act) error { return &ActError{act.What, "nothing here does it"} }
 	}
-	a := &Agent{cfg: cfg, parts: cfg.Parts, board: cfg.Board, log: cfg.Log, posted: make(chan func(int64, *fleet.Out), cfg.Queue),
+	a := &Agent{cfg: cfg, board: cfg.Board, log: cfg.Log, posted: make(chan func(int64, *fleet.Out), cfg.Queue),
 		acts: make(chan ended, maxActs), states: make(chan fleet.State, 8), stop: make(chan struct{}), over: make(chan struct{}), slots: make(chan struct{}, maxActs), metrics: newMetrics()}
 	a.book = fleet.NewBook(fleet.Entry{Name: cfg.Self, Incarnation: uint64(max(1, cfg.Wall())), Zone: cfg.Zone, Program: cfg.Program,
 		Settings: cfg.Settings, Roster: cfg.Roster, State: fleet.Starting})
@@ -214,10 +220,7 @@
 	a.begun, a.told, a.seen = a.now, a.now-soonest, a.now-soonest
 	a.cpu = processor()
 	a.cfg.Net.Spread(a.cfg.Self, a.book.Write(func(*fleet.Entry) {}))
-	for _, p := range a.parts {
-		p.Start(a.now, &a.out)
-		a.carry()
-	}
+	a.make = a.now + settleIn
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	events := a.cfg.Net.Events()
@@ -249,6 +252,12 @@
 		case s := <-a.states:
 			a.clock()
 			a.state(s)
+		case <-a.cfg.Wake:
+			a.clock()
+			for _, p := range a.parts {
+				p.Tick(a.now, &a.out)
+				a.carry()
+			}
 		case <-timer.C:
 		}
 		a.clock()
@@ -261,6 +270,9 @@
 // next is when the agent has to wake at the latest.
 func (a *Agent) next() int64 {
 	at := a.begun + a.cfg.Length
+	if a.make != 0 {
+		at = min(at, a.make)
+	}
 	for _, p := range a.parts {
 		at = min(at, p.Next())
 	}
@@ -277,6 +289,10 @@
 	for _, e := range failed {
 		a.done(e)
 	}
+	if a.make != 0 && a.now >= a.make {
+		a.make = 0
+		a.begin()
+	}
 	for _, p := range a.parts {
 		if p.Next() <= a.now {
 			p.Tick(a.now, &a.out)
@@ -302,6 +318,25 @@
 	}
 }
 
+// begin makes the parts for this life and starts them.
+func (a *Agent) begin() {
+	if a.cfg.Make == nil {
+		return
+	}
+	a.local = nil
+	a.parts = a.cfg.Make(a.book.Own().Incarnation)
+	for _, p := range a.parts {
+		p.Start(a.now, &a.out)
+		a.carry()
+	}
+	if v := a.board.Read(); v != nil {
+		for _, p := range a.parts {
+			p.View(a.now, v, &a.out)
+			a.carry()
+		}
+	}
+}
+
 // event takes one thing from the net.
 func (a *Agent) event(e fleetnet.Event) {
 	switch e.Kind {
@@ -316,6 +351,10 @@
 		}
 		if spread != nil {
 			a.cfg.Net.Spread(name, spread)
+			if name == a.cfg.Self && a.make == 0 { // a higher life: the parts' messages were those of a lower one
+				a.log.Info("a later life under this name is taken", "life", a.book.Own().Incarnation)
+				a.begin()
+			}
 		}
 	case fleetnet.Up:
 		a.book.Up(a.now, e.Name)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -26,9 +26,14 @@
 	"pewterwheel/internal/failpoint"
 	"pewterwheel/internal/fleet"
 	"pewterwheel/internal/fleetnet"
+	"pewterwheel/internal/keeper"
+	"pewterwheel/internal/lease"
 	"pewterwheel/internal/meter"
+	"pewterwheel/internal/pooling"
+	"pewterwheel/internal/service"
 	"pewterwheel/internal/session"
 	"pewterwheel/internal/sidecar"
+	"pewterwheel/internal/stage"
 )
 
 const (
@@ -80,17 +85,29 @@
 	base   config.Sidecar // as at the start
 	member config.Member
 	board  fleet.Board
-	parts  []fleet.Part
+	clock  func() int64 // of the loop of calls and of the parts: what crosses between them holds times
+	wall   int64        // for the number of this life; it may be wrong
+	table  *keeper.Table
+	queue  *keeper.Queue
+	pools  *pooling.Loop // nil: pooling is off
+	file   string        // where a concluded change is written down
 	meter  atomic.Pointer[meter.Meter]
 	agent  atomic.Pointer[agent.Agent]
 	hup    chan<- os.Signal
 	stop   chan struct{}
 	over   chan struct{}
-	onLoad []func(config.Sidecar) // called with each new file, on no goroutine in particular
 
-	mu    sync.Mutex
-	state fleet.State
-	doing sync.Mutex // one act on the settings at a time
+	// Of the agent's goroutine.
+	lessor *lease.Part
+	stage  *stage.Part
+	keeper *keeper.Part
+
+	mu        sync.Mutex
+	state     fleet.State
+	running   stage.Target   // what this process goes by
+	concluded stage.Target   // what it would come up by
+	last      config.Sidecar // its own file as it was last read
+	doing     sync.Mutex     // one act on the settings at a time
 }
 
 var _ sidecar.Company = (*together)(nil)
@@ -104,18 +121,34 @@
 	if !ok {
 		return nil, &MemberError{name, "the file has no such [member]"}
 	}
-	t := &together{reader: r, log: log, base: s, member: m, state: fleet.Starting, stop: make(chan struct{}), over: make(chan struct{})}
-	t.makeParts()
+	t := &together{reader: r, log: log, base: s, last: s, member: m, state: fleet.Starting, stop: make(chan struct{}), over: make(chan struct{}),
+		clock: service.Clock(), file: r.Path() + ".concluded"}
+	t.wall = time.Now().UnixMicro()
+	if failpoint.Enabled {
+		if d, err := time.ParseDuration(failpoint.Value("clock")); err == nil {
+			t.wall += d.Microseconds()
+		}
+	}
+	if s.Keepers != nil {
+		t.table, t.queue = keeper.NewTable(), keeper.NewQueue(queueRoom)
+	}
+	if s.Pooling != nil && s.Pooling.Mode != "off" {
+		t.pools = pooling.NewLoop(uint64(t.wall))
+	}
+	t.recall()
 	return t, nil
 }
 
-// makeParts makes the parts that decide over several processes, in the order in which they are told of things.
-func (t *together) makeParts() {
-	t.parts = append(t.parts, t.failParts()...)
+// Configure gives the service the clock that the parts go by.
+func (t *together) Configure(c *service.Config) {
+	c.Clock = t.clock
 }
 
 // Front puts what the parts need of the calls before a decider, the meter in front of all.
 func (t *together) Front(set decide.Settings, classes []string, inner session.Decider) session.Decider {
+	if t.table != nil {
+		inner = keeper.NewFront(t.keepers(uint64(t.wall), nil), set, inner, t.table, t.queue)
+	}
 	m := meter.New(set, classes, inner)
 	m.Started = func() { t.now(fleet.Serving) }
 	m.Also = func(put func(name string, n uint64, gauge bool)) {
@@ -175,15 +208,9 @@
 		case <-time.After(bindAgain):
 		}
 	}
-	wall := func() int64 { return time.Now().UnixMicro() }
-	if failpoint.Enabled {
-		if d, err := time.ParseDuration(failpoint.Value("clock")); err == nil {
-			wall = func() int64 { return time.Now().Add(d).UnixMicro() }
-		}
-	}
 	digest, _ := t.reader.Going()
 	a := agent.New(agent.Config{Self: t.member.Name, Zone: t.member.Zone, Program: Version(), Settings: digest, Roster: t.base.Fleet.RosterNumber,
-		Net: net, Board: &t.board, Parts: t.parts, Do: t.do, Log: t.log, Wall: wall, Window: t.window})
+		Net: net, Board: &t.board, Make: t.make, Wake: t.wakes(), Do: t.do, Log: t.log, Clock: t.clock, Wall: func() int64 { return t.wall }, Window: t.window})
 	ran := make(chan struct{})
 	go func() { a.Run(); close(ran) }()
 	t.mu.Lock()
@@ -212,6 +239,11 @@
 		for sig := range signals {
 			if sig == syscall.SIGTERM || sig == syscall.SIGINT {
 				t.now(fleet.Draining)
+				t.post(func(now int64, out *fleet.Out) {
+					if t.keeper != nil {
+						t.keeper.Drain(now, out)
+					}
+				})
 			}
 			to <- sig
 		}
@@ -227,9 +259,10 @@
 	}
 	a.Name(addresses(s, t.member.Name))
 	a.Goes(digest, s.Fleet.RosterNumber)
-	for _, f := range t.onLoad {
-		f(s)
-	}
+	t.mu.Lock()
+	t.last = s
+	t.mu.Unlock()
+	t.post(func(now int64, out *fleet.Out) { t.told(now, s, out) })
 }
 
 // post hands something to the parts, if there are any that run; false: it was dropped.
@@ -238,31 +271,23 @@
 	return a != nil && a.Post(f)
 }
 
-// target is the body of the acts "apply" and "back": what a process is to go by.
-type target struct {
-	Change         uint64 `cbor:"1,keyasint"`
-	Settings       string `cbor:"2,keyasint,omitempty"`
-	SettingsDigest uint64 `cbor:"3,keyasint,omitempty"`
-	Program        string `cbor:"4,keyasint,omitempty"`
-	ProgramDigest  uint64 `cbor:"5,keyasint,omitempty"`
-}
-
 // do carries out an act of a part's, away from all loops.
 func (t *together) do(act fleet.Act) error {
+	to, err := stage.DecodeTarget(act.Body)
+	if err != nil {
+		return &ApplyError{act.What, err}
+	}
 	switch act.What {
-	case "apply", "back":
-		var to target
-		_, decode := fleet.Coding()
-		if err := decode.Unmarshal(act.Body, &to); err != nil {
-			return &ApplyError{act.What, err}
-		}
+	case stage.Apply, stage.Back:
 		return t.apply(to)
+	case stage.Conclude:
+		return t.conclude(to)
 	}
 	return &agent.ActError{What: act.What, Why: "no such act"}
 }
 
 // apply goes by the settings that a change names, as after SIGHUP.
-func (t *together) apply(to target) error {
+func (t *together) apply(to stage.Target) error {
 	t.doing.Lock()
 	defer t.doing.Unlock()
 	path := t.expand(to.Settings)
@@ -296,6 +321,9 @@
 		t.reader.GoBy(was, nil)
 		return &ApplyError{path, err}
 	}
+	t.mu.Lock()
+	t.running = to
+	t.mu.Unlock()
 	t.log.Info("goes by settings of a change", "change", to.Change, "path", cmp.Or(path, t.reader.Path()), "digest", digest)
 	return nil
 }
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -174,6 +174,12 @@
 // Avoids passes the question on.
 func (m *Meter) Avoids(id decide.ServerID) bool { return m.inner.Avoids(id) }
 
+// HearsEnds tells whether what is behind wants to hear of the ends of calls that stood.
+func (m *Meter) HearsEnds() bool {
+	h, ok := m.inner.(interface{ HearsEnds() bool })
+	return ok && h.HearsEnds()
+}
+
 // Reload passes a configuration on, if what is behind takes one.
 func (m *Meter) Reload(now int64, part any, out []decide.Action) []decide.Action {
 	if m.reloader == nil {
--- a/internal/service/config.go
+++ b/internal/service/config.go
@@ -33,6 +33,7 @@
 	Linger  int64                                                  `json:"-"` // microseconds; see membership.NewFile
 	Node    func(decide.Settings, uint64) (session.Decider, error) `json:"-"` // nil: the module alone
 	Part    any                                                    `json:"-"` // for a Node that is a session.Reloader
+	Clock   func() int64                                           `json:"-"` // of Clock's; nil: one of the service's own
 }
 
 // ReadConfig reads the configuration. Unknown fields are passed over: newer platforms tell more.
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -34,7 +34,10 @@
 		return err
 	}
 	limitRuntime(cfg)
-	now := clock()
+	now := cfg.Clock
+	if now == nil {
+		now = Clock()
+	}
 	q := newQueue(cfg.Limits.MemoryMB)
 	network := newNetwork(cfg, q, now)
 	sc, err := cfg.Session()
@@ -86,8 +89,9 @@
 	}
 }
 
-// clock returns the system's Unix time in microseconds, which never runs backwards here.
-func clock() func() int64 {
+// Clock returns a clock of the system's Unix time in microseconds, which never runs backwards. Two of them differ; what is to
+// agree on a time goes by one.
+func Clock() func() int64 {
 	start := time.Now()
 	base := start.UnixMicro()
 	return func() int64 { return base + time.Since(start).Microseconds() }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -115,15 +115,14 @@
 	return c, err
 }
 
-// readAnew reads the process's own file, and that of a change if it goes by one. What concerns the fleet is in its own; one
-// that names no change any more is what the process goes by.
+// readAnew reads the process's own file, and that of a change if it goes by one. What concerns the fleet is in its own.
 func (r *Reader) readAnew() (service.Config, error) {
 	doc, s, digest, err := r.load(r.path)
 	if err != nil {
 		return service.Config{}, err
 	}
 	own := s
-	if s.Change == nil {
+	if r.applied != "" && r.taken == nil && r.company.Released() {
 		r.applied = ""
 	}
 	if r.applied != "" {
@@ -251,6 +250,9 @@
 		}
 		return r.company.Front(set, names, routed), nil
 	}
+	if r.company != nil {
+		r.company.Configure(&c)
+	}
 	return c
 }
 
@@ -270,8 +272,12 @@
 type Company interface {
 	// Front makes what stands before the decider of this process. Classes are the names of the settings' classes.
 	Front(set decide.Settings, classes []string, inner session.Decider) session.Decider
+	// Configure sets what the service needs beside the file's own: a clock, lanes.
+	Configure(c *service.Config)
 	// Loaded tells of each file of this process's own that was read, and the digest of the settings that it goes by.
 	Loaded(own config.Sidecar, digest uint64)
+	// Released tells whether a process that goes by the file of a change may go by its own again.
+	Released() bool
 	// Forward passes signals on, and may add some.
 	Forward(<-chan os.Signal) <-chan os.Signal
 	// Run serves until Leave, which returns once all of it has ended.
