--- a/internal/service/oncall_test.go
+++ b/internal/service/oncall_test.go
@@ -16,6 +16,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	members, err := os.ReadFile("../../docs/MEMBERS.md") // what only members of a fleet log
+	if err != nil {
+		t.Fatal(err)
+	}
+	page = append(page, members...)
 	var told []string
 	for pattern, call := range map[string]string{"../*/*.go": `log\.(?:Info|Warn|Error)\("([^"]+)"`,
 		"../../decide/*.go": `logf\("([^%"]+?) *%`} {
