--- /dev/null
+++ b/internal/fleetnet/net_test.go
@@ -0,0 +1,308 @@
+package fleetnet
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+	"go.uber.org/goleak"
+
+	"pewterwheel/internal/fleet"
+)
+
+// patience is only for a broken program: nothing is judged by how fast it comes.
+const patience = 20 * time.Second
+
+// free returns a loopback address at which UDP and TCP are free now.
+func free(t testing.TB) netip.AddrPort {
+	t.Helper()
+	for range 20 {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		at := l.Addr().(*net.TCPAddr).AddrPort()
+		u, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
+		_ = l.Close()
+		if err == nil {
+			_ = u.Close()
+			return at
+		}
+	}
+	t.Fatal("no free address")
+	return netip.AddrPort{}
+}
+
+// box takes a net's events and remembers them.
+type box struct {
+	Net
+	mu       sync.Mutex
+	up       map[string]bool
+	messages []fleet.Message
+	entries  map[string]int
+}
+
+func open(t testing.TB, cfg Config) *box {
+	t.Helper()
+	cfg.Probe, cfg.ProbeTimeout, cfg.Gossip, cfg.Rejoin, cfg.PushPull = 100_000, 50_000, 30_000, 200_000, 500_000
+	n, err := Open(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &box{Net: n, up: map[string]bool{}, entries: map[string]int{}}
+	over := make(chan struct{})
+	go func() {
+		defer close(over)
+		for e := range n.Events() {
+			b.mu.Lock()
+			switch e.Kind {
+			case Up, Gone:
+				b.up[e.Name] = e.Kind == Up
+			case Message:
+				b.messages = append(b.messages, e.Msg)
+			case Entry:
+				b.entries[string(e.Bytes)]++
+			}
+			b.mu.Unlock()
+		}
+	}()
+	t.Cleanup(func() { n.Close(); <-over })
+	return b
+}
+
+func (b *box) has(f func() bool) func() bool {
+	return func() bool { b.mu.Lock(); defer b.mu.Unlock(); return f() }
+}
+
+func until(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	for by := time.Now().Add(patience); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(by) {
+			t.Fatalf("%s did not come", what)
+		}
+	}
+}
+
+// pipe relays UDP and TCP from an address of its own to one that may change. Everything goes to and fro between one pair.
+type pipe struct {
+	at  netip.AddrPort
+	mu  sync.Mutex
+	to  netip.AddrPort
+	cut bool
+}
+
+func relay(t testing.TB, to netip.AddrPort) *pipe {
+	t.Helper()
+	p := &pipe{at: free(t), to: to}
+	u, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(p.at))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp4", p.at.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = u.Close(); _ = l.Close() })
+	goes := func() (netip.AddrPort, bool) { p.mu.Lock(); defer p.mu.Unlock(); return p.to, !p.cut }
+	go func() {
+		b := make([]byte, 64<<10)
+		for {
+			n, err := u.Read(b)
+			if err != nil {
+				return
+			}
+			if to, ok := goes(); ok {
+				_, _ = u.WriteToUDPAddrPort(b[:n], to)
+			}
+		}
+	}()
+	go func() {
+		for {
+			from, err := l.Accept()
+			if err != nil {
+				return
+			}
+			to, ok := goes()
+			if !ok {
+				_ = from.Close()
+				continue
+			}
+			onward, err := net.Dial("tcp4", to.String())
+			if err != nil {
+				_ = from.Close()
+				continue
+			}
+			half := func(a, b net.Conn) {
+				_, _ = bytes.NewBuffer(nil).ReadFrom(readerTo{a, b})
+				_ = a.Close()
+				_ = b.Close()
+			}
+			go half(from, onward)
+			go half(onward, from)
+		}
+	}()
+	return p
+}
+
+// readerTo copies what is read to another connection.
+type readerTo struct{ from, to net.Conn }
+
+func (r readerTo) Read(b []byte) (int, error) {
+	n, err := r.from.Read(b[:min(len(b), 4096)])
+	if n > 0 {
+		if _, err := r.to.Write(b[:n]); err != nil {
+			return 0, err
+		}
+	}
+	return 0, err
+}
+
+func (p *pipe) set(to netip.AddrPort, cut bool) { p.mu.Lock(); p.to, p.cut = to, cut; p.mu.Unlock() }
+
+// Two processes that reach each other only at addresses of their own files, through relays, find each other; messages and
+// entries pass; a cut is seen and healed; and one that comes back under its name at another port is taken in.
+func TestByNameThroughRelays(t *testing.T) {
+	t.Cleanup(func() { goleak.VerifyNone(t) }) // the last, when all is closed
+	atA, atB := free(t), free(t)
+	toA, toB := relay(t, atA), relay(t, atB)
+	nobody := netip.MustParseAddrPort("127.0.0.1:9") // what gossip says must not be gone by where the own file names an address
+	config := func(self string, bind netip.AddrPort, other string, at netip.AddrPort) Config {
+		return Config{Cluster: "one", Self: self, Bind: bind, Reach: nobody, Names: map[string]netip.AddrPort{other: at}}
+	}
+	a := open(t, config("a", atA, "b", toB.at))
+	b := open(t, config("b", atB, "a", toA.at))
+	both := func(what string) {
+		t.Helper()
+		until(t, what, func() bool { return a.Seen() == 1 && b.Seen() == 1 })
+	}
+	both("a first meeting")
+	body := bytes.Repeat([]byte{7}, fleet.MaxBody)
+	if err := a.Send(fleet.Message{Kind: fleet.Lease, To: "b", Body: body}); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "a message", b.has(func() bool {
+		return len(b.messages) > 0 && b.messages[0].From == "a" && b.messages[0].Kind == fleet.Lease && bytes.Equal(b.messages[0].Body, body)
+	}))
+	large := string(bytes.Repeat([]byte{8}, fleet.MaxEntry))
+	a.Spread("a", []byte(large))
+	until(t, "the largest entry", b.has(func() bool { return b.entries[large] > 0 }))
+
+	toA.set(atA, true)
+	toB.set(atB, true)
+	until(t, "the cut", func() bool { return a.Seen() == 0 && b.Seen() == 0 })
+	toA.set(atA, false)
+	toB.set(atB, false)
+	both("the healing")
+
+	b.Close() // killed, for a: nothing is said
+	moved := free(t)
+	toB.set(moved, false)
+	again := open(t, config("b", moved, "a", toA.at))
+	until(t, "its return", func() bool {
+		return again.Seen() == 1 && a.Send(fleet.Message{Kind: 2, To: "b", Body: []byte("x")}) == nil && again.has(func() bool { return len(again.messages) > 0 })()
+	})
+	until(t, "what was spread before", again.has(func() bool { return again.entries[large] > 0 }))
+	again.Leave()
+	until(t, "its leaving", func() bool { return a.Seen() == 0 })
+}
+
+// Who has nobody's address in its own file goes by what processes tell of themselves.
+func TestAddressesFromOthers(t *testing.T) {
+	at := []netip.AddrPort{free(t), free(t), free(t)}
+	var all []*box
+	for i := range 3 { // all know the first alone
+		all = append(all, open(t, Config{Cluster: "one", Self: fmt.Sprintf("m%d", i), Bind: at[i], Reach: at[i], Names: map[string]netip.AddrPort{"m0": at[0]}}))
+	}
+	for _, b := range all {
+		until(t, "all three", func() bool { return b.Seen() == 2 })
+	}
+	until(t, "a message between two that were not told of each other", func() bool {
+		return all[1].Send(fleet.Message{Kind: 1, To: "m2", Body: []byte("x")}) == nil && all[2].has(func() bool { return len(all[2].messages) > 0 })()
+	})
+	var unknown *UnknownMemberError
+	if err := all[0].Send(fleet.Message{Kind: 1, To: "m9"}); !errors.As(err, &unknown) {
+		t.Errorf("a message to nobody gave %v", err)
+	}
+	var size *SizeError
+	if err := all[0].Send(fleet.Message{Kind: 1, To: "m1", Body: make([]byte, fleet.MaxBody+1)}); !errors.As(err, &size) {
+		t.Errorf("a message over size gave %v", err)
+	}
+	var bind *BindError
+	if _, err := Open(Config{Cluster: "one", Self: "m9", Bind: at[0]}); !errors.As(err, &bind) {
+		t.Errorf("a used address gave %v", err)
+	}
+}
+
+// figure reads one figure.
+func figure(n Net, name string) (v uint64) {
+	n.Figures(func(f string, x uint64, _ bool) {
+		if f == name {
+			v = x
+		}
+	})
+	return v
+}
+
+// What comes from another cluster, from no program of ours, or is over a bound, is counted and passed by, and the members
+// go on.
+func TestStrangers(t *testing.T) {
+	atA, atB := free(t), free(t)
+	a := open(t, Config{Cluster: "one", Self: "a", Bind: atA, Reach: atA, Names: map[string]netip.AddrPort{"b": atB}, Queue: 8})
+	stranger := open(t, Config{Cluster: "two", Self: "b", Bind: atB, Reach: atB, Names: map[string]netip.AddrPort{"a": atA}})
+	until(t, "what is foreign", func() bool { return figure(a, "fleet_foreign") > 2 })
+	if a.Seen() != 0 || stranger.Seen() != 0 {
+		t.Error("two clusters are one")
+	}
+	u, err := net.Dial("udp4", atA.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = u.Close() }()
+	label, err := memberlist.AddLabelHeaderToPacket([]byte{8, 0xff, 0xff, 0xff}, "one") // a message of ours that is none
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, b := range [][]byte{label, {244}, {244, 200, 'x'}, bytes.Repeat([]byte{0}, 1400), []byte("GET / HTTP/1.1"), {8}, bytes.Repeat([]byte{0xff}, 60000)} {
+		if _, err := u.Write(b); err != nil {
+			t.Fatal(err)
+		}
+	}
+	until(t, "what is garbage", func() bool { return figure(a, "fleet_garbage") >= 3 })
+	for range 2 * maxStreams { // connections that say nothing: so many are taken in, the others closed at once
+		c, err := net.Dial("tcp4", atA.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+	}
+	until(t, "what is too much", func() bool { return figure(a, "fleet_events_dropped") > 0 })
+	stranger.Close()
+	friend := open(t, Config{Cluster: "one", Self: "b", Bind: atB, Reach: atB, Names: map[string]netip.AddrPort{"a": atA}})
+	until(t, "a member all the same", func() bool { return a.Seen() == 1 && friend.Seen() == 1 })
+}
+
+// The state of a push and pull is read entry by entry, whatever it holds.
+func TestStateIsBounded(t *testing.T) {
+	n := &member{events: make(chan Event, 10_000), entries: map[string][]byte{}}
+	n.encode, n.decode = fleet.Coding()
+	for i := range 300 {
+		n.entries[fmt.Sprint(i)] = bytes.Repeat([]byte{byte(i)}, 1+i)
+	}
+	state := n.LocalState(false)
+	n.MergeRemoteState(state, false)
+	if len(n.events) != 300 || n.counts.garbage.Load() != 0 {
+		t.Errorf("%d entries, %d garbage", len(n.events), n.counts.garbage.Load())
+	}
+	for i, b := range [][]byte{nil, {}, {0xff}, {0x9b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff}, {0x99}, {0x82, 0x41, 1}, state[:len(state)/2], {0x99, 0xff, 0xff}} {
+		was := n.counts.garbage.Load()
+		if n.MergeRemoteState(b, false); len(b) > 0 && n.counts.garbage.Load() == was {
+			t.Errorf("state %d was not counted", i)
+		}
+	}
+}
