Ends by message only where ends were tested; peers that are gone are forgotten

A client whose first end came after its raise would have had it sent on any connection untested. The verdict now says whether ends have passed. Tests as before.

--- a/internal/pooling/loop.go
+++ b/internal/pooling/loop.go
@@ -42,6 +42,7 @@
 	Trial   Mode   // the mode that is on trial; 0: none
 	Share   uint32 // part of plain set-ups that are tried, of 2^32
 	Marked  uint32 // the same of set-ups that repeat a token
+	Ends    bool   // ends may leave their set-up's connection
 	OwnSure bool   // no own connection has ever missed anything, in long enough
 	Since   int64  // when Mode was last changed
 }
@@ -334,7 +335,7 @@
 		l.count(x.client, Ended)
 	}
 	v := l.verdict(cl)
-	allowed := max(l.mode(cl, v), l.trial(cl, v)) >= ByMessage
+	allowed := l.mode(cl, v) >= ByMessage && v.Ends || l.trial(cl, v) == ByMessage
 	if l.doctor.moves && !allowed && c.Lane != Own {
 		return Own
 	}
--- a/internal/pooling/part.go
+++ b/internal/pooling/part.go
@@ -15,6 +15,7 @@
 	MaxClients = 1024
 	// MaxRecords bounds the records that are kept of other processes, over all clients.
 	MaxRecords = 16384
+	maxPeers   = 4096
 	maxPending = 512 // denials that some process has not acknowledged
 
 	tick       = 100_000
@@ -76,6 +77,7 @@
 	here    bool  // in the newest view
 	suspect bool  // or about to leave: nothing is expected of it
 	heard   int64 // when it was last in a view and not suspected; 0: never
+	met     int64 // when it first was
 	signs   uint64
 	digest  uint64
 	differs int64 // since when its digest differs; 0: it does not
@@ -101,6 +103,7 @@
 	changed  uint64 // the change in which this process's own record last changed
 	stale    bool   // to be weighed
 	weighed  int64
+	ends     bool // ends have passed their test
 	plain    bases
 	marked   bases
 	mode     Mode
@@ -205,7 +208,7 @@
 			}
 			continue
 		}
-		q := p.peer(m.Name)
+		q := p.peer(now, m.Name)
 		q.here, q.suspect = true, m.Suspect || m.State == fleet.Leaving
 		if m.State == fleet.Leaving {
 			q.heard = 0
@@ -224,6 +227,13 @@
 			p.denied(now, s.Denials, out)
 		}
 	}
+	p.names = slices.DeleteFunc(p.names, func(q *peer) bool {
+		gone := !q.here && now-q.heard >= knownFor && now-q.met >= knownFor
+		if gone {
+			delete(p.peers, q.name)
+		}
+		return gone
+	})
 	p.isCut(now)
 	p.step(now, out)
 }
@@ -239,10 +249,10 @@
 	}
 }
 
-func (p *Part) peer(name string) *peer {
+func (p *Part) peer(now int64, name string) *peer {
 	q := p.peers[name]
 	if q == nil {
-		q = &peer{name: name}
+		q = &peer{name: name, met: now}
 		p.peers[name] = q
 		i, _ := slices.BinarySearchFunc(p.names, name, func(a *peer, n string) int {
 			if a.name < n {
@@ -335,7 +345,7 @@
 		t.Unknown.Trial, t.Unknown.Share, t.Unknown.Marked = ByCall, part(leastShare), part(leastShare)
 	}
 	for _, c := range p.order {
-		v := Verdict{Epoch: c.ev.Epoch, Mode: c.mode, Since: c.since, OwnSure: !c.missed && c.all[OwnClean]+c.all[OwnMarkedClean] >= sureOwn}
+		v := Verdict{Epoch: c.ev.Epoch, Mode: c.mode, Since: c.since, Ends: c.ends, OwnSure: !c.missed && c.all[OwnClean]+c.all[OwnMarkedClean] >= sureOwn}
 		if woke {
 			v.Mode = BySession // what came meanwhile may not have been heard yet
 		}
@@ -683,6 +693,7 @@
 		}
 		opinion = m
 	}
+	c.ends = opinion == ByMessage && of[Ended] > 0
 	if opinion != c.opinion {
 		c.opinion = opinion
 		p.thinks(now, c)
@@ -772,12 +783,15 @@
 func (p *Part) Message(now int64, m fleet.Message, out *fleet.Out) {
 	p.heard++
 	s, err := hear(m.From, m.Body)
+	if err == nil && p.peers[m.From] == nil && len(p.names) >= maxPeers {
+		err = &BodyError{m.From, errPeers}
+	}
 	if err != nil {
 		p.garbled++
 		p.complains(now, "body", err)
 		return
 	}
-	q := p.peer(m.From)
+	q := p.peer(now, m.From)
 	q.signs = s.Signs
 	p.denied(now, s.Denials, out)
 	if len(s.Denials) > 0 {
--- a/internal/pooling/speak.go
+++ b/internal/pooling/speak.go
@@ -52,6 +52,7 @@
 
 	errLong  = errors.New("longer than a body may be")
 	errMuch  = errors.New("more in it than a body may hold")
+	errPeers = errors.New("more processes than are kept")
 	errEpoch = errors.New("an epoch that is none")
 )
 
