Pooling takes the site file's part of unsafe sessions, and watches where it is told to

The site file's [pooling] section has a bound and a mode that only watches; the part knew neither. Both are in Config now. Tests as before, and one for each.

--- a/internal/pooling/bound.go
+++ b/internal/pooling/bound.go
@@ -8,10 +8,10 @@
 
 // The confidence that a verdict needs. All of it is about one client, and errors are the whole fleet's, for evidence is joined.
 const (
-	// alpha bounds the probability that a client is ever raised to a mode in which a set-up is refused more often than on its
+	// usualUnsafe is alpha, unless the configuration says otherwise. Alpha bounds the probability that a client is ever raised to a mode in which a set-up is refused more often than on its
 	// own connections by at least the least harm below. Epoch n spends alpha/2^n of it, so that tests begun anew never
 	// add up to more.
-	alpha = 1e-4
+	usualUnsafe = 1e-4
 	// beta bounds the probability that a test denies, for an epoch, a client whose set-ups are never refused more often.
 	beta = 1e-3
 	// leastHarm is the least harm that a test must find, as a part of all the client's calls that go wrong on shared connections
@@ -32,7 +32,9 @@
 
 // bound is what the test's log likelihood ratio must reach in an epoch. By Wald's inequality a client in which the harm is the
 // least one or more ever gets there with a probability of at most alpha/2^epoch.
-func bound(epoch uint32) float64 { return math.Log(1/alpha) + float64(max(epoch, 1))*math.Ln2 }
+func bound(alpha float64, epoch uint32) float64 {
+	return math.Log(1/alpha) + float64(max(epoch, 1))*math.Ln2
+}
 
 // refuted is at or below what the test denies.
 var refuted = math.Log(beta)
--- a/internal/pooling/part.go
+++ b/internal/pooling/part.go
@@ -64,6 +64,10 @@
 	Seed     uint64 // draws whom evidence goes to first
 	Loop     *Loop  // of the same process
 	Complain func(error)
+	// Unsafe bounds the probability that a client is raised to a mode that it does not bear; 0: 1 in 10,000.
+	Unsafe float64
+	// Watch: verdicts are reached and shown, and nothing goes by them but the trials, without which there were none.
+	Watch bool
 	// Signs is the mask of the signs that are gone by; 0: all that this version knows. For tests of versions.
 	Signs uint64
 	// Fixed raises after so many clean outcomes, whatever the test says, and no test denies; 0: the test decides. It is the
@@ -163,6 +167,12 @@
 	if cfg.Loop == nil {
 		return nil, &ConfigError{"there is no loop to decide for"}
 	}
+	if cfg.Unsafe == 0 {
+		cfg.Unsafe = usualUnsafe
+	}
+	if !(cfg.Unsafe > 0 && cfg.Unsafe < 0.5) {
+		return nil, &ConfigError{fmt.Sprintf("a part of %v unsafe sessions cannot be gone by", cfg.Unsafe)}
+	}
 	if cfg.Signs == 0 {
 		cfg.Signs = Known
 	}
@@ -346,7 +356,7 @@
 	}
 	for _, c := range p.order {
 		v := Verdict{Epoch: c.ev.Epoch, Mode: c.mode, Since: c.since, Ends: c.ends, OwnSure: !c.missed && c.all[OwnClean]+c.all[OwnMarkedClean] >= sureOwn}
-		if woke {
+		if woke || p.cfg.Watch {
 			v.Mode = BySession // what came meanwhile may not have been heard yet
 		}
 		if next := c.mode + 1; calm && next <= c.ev.Denied.highest() {
@@ -648,7 +658,7 @@
 
 // needed is what each test of a mode must reach.
 func (p *Part) needed(c *client, of *[MaxSigns]float64, m Mode) float64 {
-	n := bound(c.ev.Epoch)
+	n := bound(p.cfg.Unsafe, c.ev.Epoch)
 	if of[Serial] >= fewSigns && of[Overlapped] < of[Serial]/fewSigns && of[Crossed] < of[Serial]/20 {
 		n += demand
 	}
--- a/internal/pooling/pooling_test.go
+++ b/internal/pooling/pooling_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -197,7 +198,7 @@
 func (o *one) mode() pooling.Mode { return o.loop.Verdict(key).Mode }
 
 // enough is more clean outcomes than a raise by call needs at full trust, and fewer than at half of it.
-var enough = map[pooling.Sign]uint32{pooling.CallClean: uint32(1.5 * pooling.Bound(1) / pooling.LeastHarm), pooling.Overlapped: 1000}
+var enough = map[pooling.Sign]uint32{pooling.CallClean: uint32(1.5 * pooling.Bound(1e-4, 1) / pooling.LeastHarm), pooling.Overlapped: 1000}
 
 var guards = []struct {
 	name string
@@ -393,6 +394,16 @@
 	same(t, pooling.Taken, o.answered(true))
 }
 
+// TestWatch: the verdict is reached and nothing goes by it.
+func TestWatch(t *testing.T) {
+	o := newOne(t, "", pooling.Config{Watch: true})
+	o.loop.Count(o.c, pooling.CallClean, enough[pooling.CallClean])
+	o.loop.Count(o.c, pooling.Overlapped, 1000)
+	o.pass(1_000_000, 100_000)
+	same(t, pooling.ByCall, o.part.Opinion(key))
+	same(t, pooling.BySession, o.mode())
+}
+
 // ---- bounds ----
 
 // TestBounds: garbage, more clients than fit, more denials than an entry holds, a ring that nobody empties.
@@ -420,6 +431,11 @@
 		holds(t, len(m.Body) <= fleet.MaxBody)
 	}
 
+	for _, cfg := range []pooling.Config{{}, {Self: "a"}, {Self: "a", Loop: o.loop, Unsafe: 2}} {
+		_, err := pooling.New(cfg)
+		var bad *pooling.ConfigError
+		holds(t, errors.As(err, &bad))
+	}
 	l := pooling.NewLoop(1)
 	for i := range pooling.SessionID(1000) { // far more clients than the ring has slots
 		l.Count(l.Open(1, i+1, fmt.Sprint("app", i), "127.0.0.1"), pooling.OwnClean, 3)
