--- a/internal/pooling/part.go
+++ b/internal/pooling/part.go
@@ -15,6 +15,7 @@
 	MaxClients = 1024
 	// MaxRecords bounds the records that are kept of other processes, over all clients.
 	MaxRecords = 16384
+	maxPeers   = 4096
 	maxPending = 512 // denials that some process has not acknowledged
 
 	tick       = 100_000
@@ -63,6 +64,10 @@
 	Seed     uint64 // draws whom evidence goes to first
 	Loop     *Loop  // of the same process
 	Complain func(error)
+	// Unsafe bounds the probability that a client is raised to a mode that it does not bear; 0: 1 in 10,000.
+	Unsafe float64
+	// Watch: verdicts are reached and shown, and nothing goes by them but the trials, without which there were none.
+	Watch bool
 	// Signs is the mask of the signs that are gone by; 0: all that this version knows. For tests of versions.
 	Signs uint64
 	// Fixed raises after so many clean outcomes, whatever the test says, and no test denies; 0: the test decides. It is the
@@ -76,6 +81,7 @@
 	here    bool  // in the newest view
 	suspect bool  // or about to leave: nothing is expected of it
 	heard   int64 // when it was last in a view and not suspected; 0: never
+	met     int64 // when it first was
 	signs   uint64
 	digest  uint64
 	differs int64 // since when its digest differs; 0: it does not
@@ -101,6 +107,7 @@
 	changed  uint64 // the change in which this process's own record last changed
 	stale    bool   // to be weighed
 	weighed  int64
+	ends     bool // ends have passed their test
 	plain    bases
 	marked   bases
 	mode     Mode
@@ -160,6 +167,12 @@
 	if cfg.Loop == nil {
 		return nil, &ConfigError{"there is no loop to decide for"}
 	}
+	if cfg.Unsafe == 0 {
+		cfg.Unsafe = usualUnsafe
+	}
+	if !(cfg.Unsafe > 0 && cfg.Unsafe < 0.5) {
+		return nil, &ConfigError{fmt.Sprintf("a part of %v unsafe sessions cannot be gone by", cfg.Unsafe)}
+	}
 	if cfg.Signs == 0 {
 		cfg.Signs = Known
 	}
@@ -205,7 +218,7 @@
 			}
 			continue
 		}
-		q := p.peer(m.Name)
+		q := p.peer(now, m.Name)
 		q.here, q.suspect = true, m.Suspect || m.State == fleet.Leaving
 		if m.State == fleet.Leaving {
 			q.heard = 0
@@ -224,6 +237,13 @@
 			p.denied(now, s.Denials, out)
 		}
 	}
+	p.names = slices.DeleteFunc(p.names, func(q *peer) bool {
+		gone := !q.here && now-q.heard >= knownFor && now-q.met >= knownFor
+		if gone {
+			delete(p.peers, q.name)
+		}
+		return gone
+	})
 	p.isCut(now)
 	p.step(now, out)
 }
@@ -239,10 +259,10 @@
 	}
 }
 
-func (p *Part) peer(name string) *peer {
+func (p *Part) peer(now int64, name string) *peer {
 	q := p.peers[name]
 	if q == nil {
-		q = &peer{name: name}
+		q = &peer{name: name, met: now}
 		p.peers[name] = q
 		i, _ := slices.BinarySearchFunc(p.names, name, func(a *peer, n string) int {
 			if a.name < n {
@@ -335,8 +355,8 @@
 		t.Unknown.Trial, t.Unknown.Share, t.Unknown.Marked = ByCall, part(leastShare), part(leastShare)
 	}
 	for _, c := range p.order {
-		v := Verdict{Epoch: c.ev.Epoch, Mode: c.mode, Since: c.since, OwnSure: !c.missed && c.all[OwnClean]+c.all[OwnMarkedClean] >= sureOwn}
-		if woke {
+		v := Verdict{Epoch: c.ev.Epoch, Mode: c.mode, Since: c.since, Ends: c.ends, OwnSure: !c.missed && c.all[OwnClean]+c.all[OwnMarkedClean] >= sureOwn}
+		if woke || p.cfg.Watch {
 			v.Mode = BySession // what came meanwhile may not have been heard yet
 		}
 		if next := c.mode + 1; calm && next <= c.ev.Denied.highest() {
@@ -505,7 +525,7 @@
 // clean tells whether a sign speaks for sharing.
 func clean(s Sign) bool {
 	switch s {
-	case CallClean, CallMarkedClean, MessageClean, MessageMarkedClean, EndClean:
+	case CallClean, CallMarkedClean, MessageClean, MessageMarkedClean, EndClean, AfterClean:
 		return true
 	}
 	return false
@@ -514,7 +534,7 @@
 // fault tells whether it speaks against it.
 func fault(s Sign) bool {
 	switch s {
-	case CallFault, CallMarkedFault, MessageFault, MessageMarkedFault, EndFault:
+	case CallFault, CallMarkedFault, MessageFault, MessageMarkedFault, EndFault, AfterFault:
 		return true
 	}
 	return false
@@ -630,6 +650,11 @@
 		c.marked.from(Tally{of[OwnMarkedClean], of[OwnMarkedFault]})
 		t = append(t, newTest(p.tally(of, m, true), &c.marked, least(seen(of, Marked), mostMarked), marked))
 	}
+	if m == ByCall && of[Guarded] > 0 {
+		// Of the sessions that are tried half of the set-ups are shared at the most, of a raised client nearly all: the harm
+		// that is looked for shows half as often.
+		t = append(t, newTest(Tally{of[AfterClean], of[AfterFault]}, &c.plain, least(seen(of, Guarded), mostMarked)/2, AfterClean))
+	}
 	if m == ByMessage && of[Ended] > 0 {
 		t = append(t, newTest(Tally{of[EndClean], of[EndFault]}, &bases{low: floorBase, high: floorBase}, least(seen(of, Ended), mostEnd), EndClean))
 	}
@@ -638,7 +663,7 @@
 
 // needed is what each test of a mode must reach.
 func (p *Part) needed(c *client, of *[MaxSigns]float64, m Mode) float64 {
-	n := bound(c.ev.Epoch)
+	n := bound(p.cfg.Unsafe, c.ev.Epoch)
 	if of[Serial] >= fewSigns && of[Overlapped] < of[Serial]/fewSigns && of[Crossed] < of[Serial]/20 {
 		n += demand
 	}
@@ -657,7 +682,7 @@
 		of = &c.own
 	}
 	opinion := BySession
-	var room [3]test
+	var room [4]test
 	for m := ByCall; m <= c.ev.Denied.highest(); m++ {
 		need, pass := p.needed(c, of, m), true
 		for _, t := range p.tests(c, of, m, room[:0]) {
@@ -683,6 +708,7 @@
 		}
 		opinion = m
 	}
+	c.ends = opinion == ByMessage && of[Ended] > 0
 	if opinion != c.opinion {
 		c.opinion = opinion
 		p.thinks(now, c)
@@ -750,7 +776,11 @@
 		}
 		least := 0.
 		switch Sign(s) {
-		case Marked, Ended, Again:
+		case AfterClean:
+			if c.mode > BySession {
+				continue // a raised client has few set-ups on own connections, or none, and must not fall for that
+			}
+		case Marked, Ended, Again, Guarded:
 			least = 1 // what was seen of the client's ways is not forgotten within the epoch
 		}
 		c.all[s] = max(min(c.all[s], least), c.all[s]*f)
@@ -772,12 +802,15 @@
 func (p *Part) Message(now int64, m fleet.Message, out *fleet.Out) {
 	p.heard++
 	s, err := hear(m.From, m.Body)
+	if err == nil && p.peers[m.From] == nil && len(p.names) >= maxPeers {
+		err = &BodyError{m.From, errPeers}
+	}
 	if err != nil {
 		p.garbled++
 		p.complains(now, "body", err)
 		return
 	}
-	q := p.peer(m.From)
+	q := p.peer(now, m.From)
 	q.signs = s.Signs
 	p.denied(now, s.Denials, out)
 	if len(s.Denials) > 0 {
