Let verdicts of the true module reach the lanes, and lanes meet faults on sockets

The interface was only held against a stand-in of pooling. On sockets, offices that reset connections, room for eight lanes, SIGTERM while calls stand: no rule broken.

--- a/internal/session/lanes_sockets_test.go
+++ b/internal/session/lanes_sockets_test.go
@@ -69,12 +69,14 @@
 var starting sync.Mutex
 
 // serve runs the program until the test ends, or stop is called.
-func serve(t *testing.T, l *fixed, office string) (address string, stop func()) {
+func serve(t *testing.T, l pooling.Laner, sockets int, offices ...string) (address string, stop func()) {
 	t.Helper()
 	address = fmt.Sprintf("127.0.0.1:%d", standin.FreePort())
-	cfg := service.Config{Name: "s", Listen: address, Seed: "8c1f30d27a5be964", Laner: l, Application: "app",
-		Members: []membership.Member{{Name: "o1", Address: netip.MustParseAddrPort(office), Weight: 1}}}
-	cfg.Limits.Cores, cfg.Limits.Sockets = 1, 256
+	cfg := service.Config{Name: "s", Listen: address, Seed: "8c1f30d27a5be964", Laner: l, Application: "app"}
+	for i, o := range offices {
+		cfg.Members = append(cfg.Members, membership.Member{Name: fmt.Sprint("o", i+1), Address: netip.MustParseAddrPort(o), Weight: 1})
+	}
+	cfg.Limits.Cores, cfg.Limits.Sockets = 1, sockets
 	set := &cfg.Settings
 	set.Balancers, set.Quantum, set.Zones = 1, 5_000, []string{""}
 	set.Classes = []wire.ClassSettings{{Name: "sale-auth", Aim: 800_000, Deadline: 6_000_000, Worth: 1, Effect: "free"}}
@@ -114,7 +116,7 @@
 				must(t, err)
 				t.Cleanup(o.Close)
 				l := &fixed{mode: mode, from: map[string]int{}, saw: map[pooling.Happening]int{}}
-				address, stop := serve(t, l, o.Address)
+				address, stop := serve(t, l, 256, o.Address)
 				var clients []*standin.Client
 				for i := range 3 {
 					c, err := standin.DialClient(address, book, habit, uint64(i), 3*time.Millisecond)
@@ -152,6 +154,61 @@
 	}
 }
 
+// On real sockets, with room for eight lanes, offices that end connections under set-ups, and SIGTERM while calls stand: no rule is broken, and every call has its one final answer.
+func TestLanesUnderFaultsOnSockets(t *testing.T) {
+	for _, mode := range []pooling.Mode{pooling.BySession, pooling.ByCall} {
+		t.Run(fmt.Sprint(mode), func(t *testing.T) {
+			t.Parallel()
+			book := standin.NewBook()
+			var offices []*standin.Office
+			var addresses []string
+			for i := range 2 {
+				o, err := standin.NewOffice(fmt.Sprint("o", i+1), fmt.Sprintf("127.0.0.1:%d", standin.FreePort()), book,
+					standin.Script{Work: 2 * time.Millisecond})
+				must(t, err)
+				t.Cleanup(o.Close)
+				offices, addresses = append(offices, o), append(addresses, o.Address)
+			}
+			l := &fixed{mode: mode, from: map[string]int{}, saw: map[pooling.Happening]int{}}
+			address, stop := serve(t, l, 68, addresses...)
+			var clients []*standin.Client
+			for i := range 3 {
+				c, err := standin.DialClient(address, book, standin.Stateless, uint64(i), 50*time.Millisecond)
+				must(t, err)
+				clients = append(clients, c)
+			}
+			var all sync.WaitGroup
+			for _, c := range clients {
+				all.Go(func() { is(t, "all answered", c.Play("sale-auth", 3*time.Second, 60), "") })
+			}
+			faults := make(chan struct{})
+			go func() {
+				defer close(faults)
+				for i := range 10 {
+					o := offices[i%2]
+					o.Script(standin.Script{Mode: standin.Reset})
+					time.Sleep(15 * time.Millisecond)
+					o.Script(standin.Script{Work: 2 * time.Millisecond})
+					time.Sleep(60 * time.Millisecond)
+				}
+			}()
+			<-faults
+			all.Wait()
+			is(t, "all answered", clients[0].Play("sale-auth", 3*time.Second, 5), "")
+			stop() // while calls stand on lanes
+			for _, c := range clients {
+				c.Close()
+			}
+			book.Settle()
+			sums := book.Sums()
+			is(t, "rules kept", len(book.Broken()) == 0, book.Broken())
+			is(t, "connections lost under set-ups", l.saw[pooling.LaneLost] > 0, l.saw)
+			is(t, "some answered", sums.Answered > 0, sums)
+			t.Logf("%+v; %v", sums, l.saw)
+		})
+	}
+}
+
 func must(t *testing.T, err error) {
 	t.Helper()
 	if err != nil {
--- a/internal/standin/habit.go
+++ b/internal/standin/habit.go
@@ -45,26 +45,64 @@
 // DrawHabit draws one.
 func DrawHabit(rng *rand.Rand) Habit { return Habit(rng.IntN(int(habits))) }
 
-// Client is an application's connections with a habit.
-type Client struct {
+// Mind is what a client of a habit remembers, and what it puts into its set-ups by it. A word in a set-up's description that
+// begins with token-, after- or keep is what it relies on; see Ties.
+type Mind struct {
 	Habit Habit
 	Every int // of Rarely: it shows in one set-up of so many
 
+	rng   *rand.Rand
+	token string // of the last answer
+	last  uint64 // the call that it was the answer to
+}
+
+// NewMind makes one; what it does by chance comes from the seed.
+func NewMind(habit Habit, seed uint64) *Mind {
+	return &Mind{Habit: habit, Every: 100, rng: rand.New(rand.NewPCG(seed, 0x0ab1))}
+}
+
+// OneAtATime tells whether the client waits for one call's answer before its next set-up.
+func (m *Mind) OneAtATime() bool { return m.Habit != Stateless && m.Habit != EndsElsewhere }
+
+// Took notes what an office gave with the answer to a call.
+func (m *Mind) Took(id uint64, description string) { m.token, m.last = description, id }
+
+// Describe makes the description of the next set-up.
+func (m *Mind) Describe() string {
+	switch m.Habit {
+	case KeepsInCall:
+		return "offer keep"
+	case RepeatsToken:
+		if m.token != "" {
+			return "offer " + m.token
+		}
+	case Rarely:
+		if m.token != "" && m.rng.IntN(m.Every) == 0 {
+			return "offer " + m.token
+		}
+	case ReliesOnOrder:
+		if _, place, ok := strings.Cut(m.token, "-"); ok {
+			office, _, _ := strings.Cut(place, "-")
+			return fmt.Sprintf("offer after-%s-%x", office, m.last)
+		}
+	}
+	return "offer"
+}
+
+// Client is an application's connections with a habit.
+type Client struct {
 	address string
 	book    *Book
-	rng     *rand.Rand
 	caller  *Caller
 	other   *Caller // of EndsElsewhere: the connection for releases
 
-	mu    sync.Mutex
-	token string // of the last answer
-	last  uint64 // the call that it was the answer to
-	calls int
+	mu   sync.Mutex
+	mind *Mind
 }
 
 // DialClient connects a client; what it does by chance comes from the seed.
 func DialClient(address string, book *Book, habit Habit, seed uint64, hold time.Duration) (*Client, error) {
-	c := &Client{Habit: habit, Every: 100, address: address, book: book, rng: rand.New(rand.NewPCG(seed, 0x0ab1))}
+	c := &Client{address: address, book: book, mind: NewMind(habit, seed)}
 	var err error
 	if habit == EndsElsewhere {
 		if c.other, err = Dial(address, book, hold); err != nil {
@@ -91,15 +129,14 @@
 func (c *Client) Play(class string, wait time.Duration, calls int) bool {
 	for range calls {
 		answer := c.caller.Call(class, wait)
-		c.calls++
-		if c.Habit != Stateless && c.Habit != EndsElsewhere || c.rng.IntN(3) == 0 {
+		if c.mind.OneAtATime() || c.chance(3) {
 			select {
 			case <-answer:
 			case <-time.After(wait + time.Second):
 				return false
 			}
 		}
-		if c.Habit == ReusesIDs && c.rng.IntN(8) == 0 {
+		if c.mind.Habit == ReusesIDs && c.chance(8) {
 			c.again(class)
 		}
 	}
@@ -109,7 +146,7 @@
 // again sends a set-up under the id of the last call that stood, on a connection for that alone: it will be ended.
 func (c *Client) again(class string) {
 	c.mu.Lock()
-	id := c.last
+	id := c.mind.last
 	c.mu.Unlock()
 	if id == 0 {
 		return
@@ -126,53 +163,40 @@
 	time.Sleep(5 * time.Millisecond)
 }
 
-// took notes what an office gave.
+func (c *Client) chance(one int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.mind.rng.IntN(one) == 0
+}
+
 func (c *Client) took(id uint64, description []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.token, c.last = string(description), id
+	c.mind.Took(id, string(description))
 }
 
-// describe makes the description of the next set-up.
 func (c *Client) describe(uint64) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	switch c.Habit {
-	case KeepsInCall:
-		return "offer keep"
-	case RepeatsToken:
-		if c.token != "" {
-			return "offer " + c.token
-		}
-	case Rarely:
-		if c.token != "" && c.rng.IntN(c.Every) == 0 {
-			return "offer " + c.token
-		}
-	case ReliesOnOrder:
-		if _, place, ok := strings.Cut(c.token, "-"); ok {
-			office, _, _ := strings.Cut(place, "-")
-			return fmt.Sprintf("offer after-%s-%x", office, c.last)
-		}
-	}
-	return "offer"
+	return c.mind.Describe()
 }
 
-// ties is what a bound office keeps on each of its connections.
-type ties struct {
-	given map[string]*pipe // tokens, with the connection on which each was given
-	last  map[*pipe]uint64 // the call that was set up last on each
-	keeps map[uint64]*pipe // calls that rely on their connection until their end
+// Ties is what a bound office keeps on each of its connections, which are any values that can be told apart.
+type Ties struct {
+	given map[string]any // tokens, with the connection on which each was given
+	last  map[any]uint64 // the call that was set up last on each
+	keeps map[uint64]any // calls that rely on their connection until their end
 	count int
 }
 
-// missing tells what a set-up counts on that is not on this connection; empty: nothing. Words that name another office are
+// Missing tells what a set-up counts on that is not on this connection; empty: nothing. Words that name another office are
 // passed over.
-func (t *ties) missing(office string, p *pipe, call uint64, description string) string {
+func (t *Ties) Missing(office string, p any, call uint64, description string) string {
 	for word := range strings.FieldsSeq(description) {
 		switch kind, rest, _ := strings.Cut(word, "-"); {
 		case kind == "keep":
 			if t.keeps == nil {
-				t.keeps = map[uint64]*pipe{}
+				t.keeps = map[uint64]any{}
 			}
 			t.keeps[call] = p
 		case kind == "token" && strings.HasPrefix(rest, office+"-") && t.given[word] != p:
@@ -184,10 +208,10 @@
 	return ""
 }
 
-// give makes the token of a call that is set up.
-func (t *ties) give(office string, p *pipe, call uint64) string {
+// Give makes the token of a call that is set up.
+func (t *Ties) Give(office string, p any, call uint64) string {
 	if t.given == nil {
-		t.given, t.last = map[string]*pipe{}, map[*pipe]uint64{}
+		t.given, t.last = map[string]any{}, map[any]uint64{}
 	}
 	t.count++
 	token := fmt.Sprintf("token-%s-%08d", office, t.count)
@@ -195,15 +219,15 @@
 	return token
 }
 
-// end tells whether the end of a call came on another connection than it counts on.
-func (t *ties) end(p *pipe, call uint64) bool {
+// End tells whether the end of a call came on another connection than it counts on.
+func (t *Ties) End(p any, call uint64) bool {
 	held, ok := t.keeps[call]
 	delete(t.keeps, call)
 	return ok && held != p
 }
 
-// forget drops what is kept on a connection that has ended.
-func (t *ties) forget(p *pipe) {
+// Forget drops what is kept on a connection that has ended.
+func (t *Ties) Forget(p any) {
 	delete(t.last, p)
 	for token, on := range t.given {
 		if on == p {
--- a/internal/standin/office.go
+++ b/internal/standin/office.go
@@ -54,7 +54,7 @@
 	conns    map[net.Conn]bool
 	free     time.Time // when its line is worked off
 	standing map[uint64]bool
-	ties     ties
+	ties     Ties
 	started  time.Time // zero: long ago
 	bound    Bound
 	sets     []time.Time // set-ups since it started cold
@@ -147,7 +147,7 @@
 		_ = p.conn.Close()
 		o.mu.Lock()
 		delete(o.conns, p.conn)
-		o.ties.forget(p)
+		o.ties.Forget(p)
 		o.mu.Unlock()
 		for call := range out {
 			o.book.over(call, o.Name, true)
@@ -168,7 +168,7 @@
 			o.mu.Lock()
 			stood := o.standing[m.Call]
 			delete(o.standing, m.Call)
-			harmed := o.ties.end(p, m.Call)
+			harmed := o.ties.End(p, m.Call)
 			o.mu.Unlock()
 			if harmed {
 				o.book.harm()
@@ -196,7 +196,7 @@
 	full := s.Mode == Full || s.Queue > 0 && wait > s.Queue
 	missing := ""
 	if s.Bound != 0 && !full {
-		missing = o.ties.missing(o.Name, p, call, description)
+		missing = o.ties.Missing(o.Name, p, call, description)
 	}
 	if missing == "" && s.Mode == Answer && !full {
 		o.free = now.Add(wait + s.Work)
@@ -236,7 +236,7 @@
 		o.standing[call] = true
 		told := o.Name
 		if s.Bound != 0 {
-			told = o.ties.give(o.Name, p, call)
+			told = o.ties.Give(o.Name, p, call)
 		}
 		o.mu.Unlock()
 		_ = p.send(wire.Message{Type: wire.TypeAnswer, Call: call, Params: []wire.Param{{Code: wire.ParamDescription, Value: []byte(told)}}})
