--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -99,12 +100,16 @@
 	}
 }
 
-func (l *tail) String() string {
+// end gives the last lines that are not the membership's own.
+func (l *tail) end(most int) string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return strings.Join(l.lines, "\n")
+	some := slices.DeleteFunc(slices.Clone(l.lines), func(s string) bool { return strings.Contains(s, `"msg":"membership"`) })
+	return strings.Join(some[max(0, len(some)-most):], "\n")
 }
 
+func (l *tail) String() string { return l.end(100) }
+
 // free is a port on which nobody listens, on TCP and UDP.
 func free() string {
 	for {
@@ -182,7 +187,7 @@
 			<-p.ended
 		}
 		if f.t.Failed() && p.log != nil {
-			f.t.Logf("the end of the log of %s:\n%s", p.Name, p.log)
+			f.t.Logf("the end of the log of %s:\n%s", p.Name, p.log.end(25))
 		}
 		if p.Front != nil {
 			p.Front.Close()
@@ -285,7 +290,6 @@
 	p.f.must(err)
 	p.f.must(p.cmd.Start())
 	p.ended, p.running, p.stopped = make(chan error, 1), true, false
-	p.Caller.Pause(false)
 	p.f.History.Rig(p.Name, p.Life, "start", p.Failpoints)
 	life, ended, cmd := p.Life, p.ended, p.cmd
 	go func() {
@@ -327,6 +331,7 @@
 		}
 		return strings.HasPrefix(p.Ask("READY", time.Second), "200 ")
 	})
+	p.Caller.Pause(false)
 }
 
 // Until waits until something is so.
--- a/internal/fleettest/relay.go
+++ b/internal/fleettest/relay.go
@@ -145,8 +145,12 @@
 	}
 }
 
-// errReset ends a stream that was to be cut in the middle.
-var errReset = errors.New("the relay ended the stream")
+var (
+	// errReset ends a stream that was to be cut in the middle.
+	errReset = errors.New("the relay ended the stream")
+	// errUnread is an end that reads no more. What it wrote before may still be on its way back.
+	errUnread = errors.New("the other end reads no more")
+)
 
 // copy passes a stream on in one direction until it ends, done is closed, or a reset is due.
 // An end does not pass a cut either: the other side sees silence.
@@ -186,7 +190,7 @@
 		}
 		d.mu.Unlock()
 		if _, err := to.Write(buf[:n]); err != nil {
-			return err
+			return errUnread
 		}
 		if d.Bytes.Add(int64(n)); cut {
 			return errReset
@@ -375,16 +379,26 @@
 	go func() { ends <- r.To.copy(out, in, done, r.stop) }()
 	go func() { ends <- r.Back.copy(in, out, done, r.stop) }()
 	err = <-ends
+	left := 1
+	if errors.Is(err, errUnread) {
+		select {
+		case err = <-ends:
+			left = 0
+		case <-time.After(time.Second):
+		}
+	}
 	close(done)
 	// An end by reset shows as one; an ordinary end passes what was written before.
-	reset = errors.Is(err, errReset) || !errors.Is(err, io.EOF)
+	reset = !errors.Is(err, io.EOF) && !errors.Is(err, errUnread)
 	for _, c := range []net.Conn{in, out} {
 		if t, ok := c.(*net.TCPConn); ok && reset {
 			_ = t.SetLinger(0)
 		}
 		_ = c.Close()
 	}
-	<-ends
+	for range left {
+		<-ends
+	}
 }
 
 // Break ends all streams that are open now, as a reset does.
