--- a/internal/member/parts.go
+++ b/internal/member/parts.go
@@ -33,12 +33,14 @@
 		s = t.base
 	}
 	f := s.Fleet
-	t.lessor = lease.New(lease.Config{Self: t.member.Name, Incarnation: life, Seed: life, Roster: f.RosterNumber, Names: f.Roster,
-		Lease: f.Lease, Drift: f.Drift, Floor: life / 1000, Renewals: failpoint.Enabled})
+	t.lessor = lease.New(doctored(lease.Config{Self: t.member.Name, Incarnation: life, Seed: life, Roster: f.RosterNumber, Names: f.Roster,
+		Lease: f.Lease, Drift: f.Drift, Floor: life / 1000, Renewals: failpoint.Enabled}))
 	t.stage = stage.New(stage.Config{Name: t.member.Name, Zone: t.member.Zone, Lease: t.lessor, Running: running, Concluded: concluded, Rules: stageRules()})
 	parts := []fleet.Part{t.lessor, t.stage}
 	if t.table != nil {
-		k, err := keeper.New(t.keepers(life, t.lessor), t.table, t.queue)
+		cfg := t.keepers(life, t.lessor)
+		cfg.Barred = t.stage.Soon
+		k, err := keeper.New(cfg, t.table, t.queue)
 		if err != nil {
 			t.log.Error("no numbers are kept", "error", err, advice.Attr(err))
 		} else {
@@ -47,7 +49,7 @@
 		}
 	}
 	if t.pools != nil {
-		p, err := pooling.New(pooling.Config{Self: t.member.Name, Seed: life, Loop: t.pools,
+		p, err := pooling.New(pooling.Config{Self: t.member.Name, Seed: life, Loop: t.pools, Unsafe: t.base.Pooling.Unsafe, Watch: t.base.Pooling.Mode == "watch",
 			Complain: func(err error) { t.log.Warn("pooling", "error", err, advice.Attr(err)) }})
 		if err != nil {
 			t.log.Error("no sessions are observed", "error", err, advice.Attr(err))
