The agent under test, in time that the test owns; what parts tell each other without end is cut off

Two parts of one process that answer each other without end were cut off after 10,000 messages, and went on with the next event: the last answer stayed in the outbox. It is dropped now, and counted.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -430,7 +430,7 @@
 	}
 	a.log.Error("parts of one process go on telling each other", "waiting", len(a.local))
 	a.refused.Add(uint64(len(a.local)))
-	a.local = nil
+	a.local, a.out = nil, fleet.Out{} // else the next round would go on with it
 }
 
 // keep puts a part's own contents into the process's entry, to be told soon.
--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,332 @@
+package agent
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"pewterwheel/internal/advice"
+	"pewterwheel/internal/fleet"
+	"pewterwheel/internal/fleetnet"
+)
+
+// fakeNet remembers what it was told.
+type fakeNet struct {
+	mu     sync.Mutex
+	events chan fleetnet.Event
+	own    []byte
+	passed map[string]int
+	sent   []fleet.Message
+	left   bool
+	closed bool
+}
+
+func newNet() *fakeNet {
+	return &fakeNet{events: make(chan fleetnet.Event, 100), passed: map[string]int{}}
+}
+func (n *fakeNet) Send(m fleet.Message) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.sent = append(n.sent, m)
+	if m.To == "nobody" {
+		return &fleetnet.UnknownMemberError{Name: m.To}
+	}
+	return nil
+}
+func (n *fakeNet) Spread(name string, b []byte) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.passed[name]++; name == "a" {
+		n.own = b
+	}
+}
+func (n *fakeNet) entry(t testing.TB) *fleet.Entry {
+	t.Helper()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	e, err := fleet.DecodeEntry(n.own)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return e
+}
+func (n *fakeNet) Forget(string)                      {}
+func (n *fakeNet) Events() <-chan fleetnet.Event      { return n.events }
+func (n *fakeNet) Seen() int                          { return 0 }
+func (n *fakeNet) Name(map[string]netip.AddrPort)     {}
+func (n *fakeNet) Figures(func(string, uint64, bool)) {}
+func (n *fakeNet) Leave()                             { n.left = true }
+func (n *fakeNet) Close()                             { n.closed = true; close(n.events) }
+
+// fakePart writes down what it is told, and does what it is set to.
+type fakePart struct {
+	kind  fleet.Kind
+	heard []string
+	on    func(now int64, what string, out *fleet.Out)
+	next  int64
+}
+
+func (p *fakePart) say(now int64, out *fleet.Out, format string, args ...any) {
+	what := fmt.Sprintf(format, args...)
+	if p.heard = append(p.heard, what); p.on != nil {
+		p.on(now, what, out)
+	}
+}
+func (p *fakePart) Kind() fleet.Kind                { return p.kind }
+func (p *fakePart) Start(now int64, out *fleet.Out) { p.next = math.MaxInt64; p.say(now, out, "start") }
+func (p *fakePart) Message(now int64, m fleet.Message, out *fleet.Out) {
+	p.say(now, out, "%s: %s", m.From, m.Body)
+}
+func (p *fakePart) View(now int64, v *fleet.View, out *fleet.Out) {
+	p.say(now, out, "view of %d", len(v.Members))
+}
+func (p *fakePart) Done(now int64, a fleet.Act, err error, out *fleet.Out) {
+	var refused *ActError
+	p.say(now, out, "done %d %v", a.Number, errors.As(err, &refused))
+}
+func (p *fakePart) Tick(now int64, out *fleet.Out) { p.next = math.MaxInt64; p.say(now, out, "tick") }
+func (p *fakePart) Next() int64                    { return p.next }
+func (p *fakePart) Figures(put func(string, uint64, bool)) {
+	put("fake_heard", uint64(len(p.heard)), false)
+}
+
+// has counts what a part was told. It is asked on the agent's goroutine.
+func has(a *Agent, p *fakePart, what string) int {
+	n := make(chan int, 1)
+	a.Post(func(int64, *fleet.Out) {
+		sum := 0
+		for _, h := range p.heard {
+			if h == what {
+				sum++
+			}
+		}
+		n <- sum
+	})
+	return <-n
+}
+
+// inBubble runs an agent with one part, in time that stands still while nothing happens.
+func inBubble(t *testing.T, cfg Config, p *fakePart, play func(a *Agent, n *fakeNet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		n, start := newNet(), time.Now()
+		cfg.Self, cfg.Net = "a", n
+		cfg.Clock = func() int64 { return 5_000_000 + time.Since(start).Microseconds() }
+		if cfg.Wall == nil {
+			cfg.Wall = func() int64 { return 1000 }
+		}
+		if cfg.Make == nil {
+			cfg.Make = func(uint64) []fleet.Part { return []fleet.Part{p} }
+		}
+		a := New(cfg)
+		go a.Run()
+		time.Sleep(settleIn * time.Microsecond)
+		synctest.Wait()
+		play(a, n)
+		a.Stop()
+		if !n.left || !n.closed || n.entry(t).State != fleet.Leaving {
+			t.Errorf("left %v, closed %v, in state %d", n.left, n.closed, n.entry(t).State)
+		}
+	})
+}
+
+// Parts are told of all that concerns them; what they want done is done, in order; what a process tells itself takes no
+// net; what is in the entry is spread; notes are in the log with the machine's time.
+func TestAgentDrives(t *testing.T) {
+	p := &fakePart{kind: fleet.Stage}
+	p.on = func(now int64, what string, out *fleet.Out) {
+		switch what {
+		case "b: hello":
+			out.Notes = append(out.Notes, fleet.Note{Kind: fleet.Stage, What: "greeted", Thing: "x", Fence: 7, Until: now + 1_000_000, N: 3, Text: "by b"})
+			out.Send = append(out.Send, fleet.Message{Kind: fleet.Stage, To: "a", Body: []byte("mine")}, fleet.Message{Kind: fleet.Stage, To: "b", Body: []byte("thanks")},
+				fleet.Message{Kind: fleet.Stage, To: "nobody"})
+			out.Tell(fleet.Stage, []byte("greeted"))
+		case "a: mine":
+			out.Acts = append(out.Acts, fleet.Act{Kind: fleet.Stage, Number: 1, What: "good"}, fleet.Act{Kind: fleet.Stage, Number: 2, What: "bad"})
+			p.next = now + 300_000
+		}
+	}
+	var log bytes.Buffer
+	cfg := Config{Zone: "porto", Program: "v1", Settings: 5, Roster: 6, Log: slog.New(slog.NewTextHandler(&log, &slog.HandlerOptions{Level: slog.LevelDebug})),
+		Window: func() fleet.Window { return fleet.Window{Class: []fleet.ClassFigures{{Name: "c", Offered: 4}}} },
+		Do: func(a fleet.Act) error {
+			if a.What == "bad" {
+				return &ActError{a.What, "it is bad"}
+			}
+			return nil
+		}}
+	inBubble(t, cfg, p, func(a *Agent, n *fakeNet) {
+		if v := a.Board().Read(); v == nil || v.Member("a").Program != "v1" || has(a, p, "start") != 1 || has(a, p, "view of 1") < 1 {
+			t.Errorf("%+v", v)
+		}
+		a.State(fleet.Serving)
+		a.State(fleet.Starting) // lives do not run backwards
+		n.events <- fleetnet.Event{Kind: fleetnet.Message, Msg: fleet.Message{Kind: fleet.Stage, From: "b", To: "a", Body: []byte("hello")}}
+		n.events <- fleetnet.Event{Kind: fleetnet.Message, Msg: fleet.Message{Kind: 77, From: "b", To: "a"}} // of a module to come
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		for what, want := range map[string]int{"b: hello": 1, "a: mine": 1, "done 1 false": 1, "done 2 true": 1, "tick": 1} {
+			if got := has(a, p, what); got != want {
+				t.Errorf("%q was heard %d times", what, got)
+			}
+		}
+		if len(n.sent) != 2 || n.sent[0].To != "b" || n.sent[0].From != "a" {
+			t.Errorf("sent %v", n.sent)
+		}
+		e := n.entry(t)
+		if e.State != fleet.Serving || string(e.Parts[fleet.Stage]) != "greeted" || e.Zone != "porto" || e.Settings != 5 || e.Roster != 6 {
+			t.Errorf("%+v", e)
+		}
+		if k := len(e.Windows); k < 2 || e.Windows[k-1].Number != e.Windows[k-2].Number+1 || e.Windows[k-1].Class[0].Offered != 4 || e.Windows[k-1].Memory == 0 {
+			t.Errorf("windows %+v", e.Windows)
+		}
+		figures := map[string]uint64{}
+		a.Figures(func(name string, n uint64, _ bool) { figures[name] = n })
+		if figures["fleet_members"] != 1 || figures["fake_heard"] == 0 || figures["fleet_refused"] != 1 || figures["fleet_notes"] != 1 {
+			t.Errorf("%v", figures)
+		}
+	})
+	for _, want := range []string{"msg=noted kind=2 what=greeted thing=x fence=7 until=", "n=3 text=\"by b\" self=a mono=", "msg=\"act failed\" what=bad"} {
+		if !strings.Contains(log.String(), want) {
+			t.Errorf("the log lacks %s\n%s", want, log.String())
+		}
+	}
+}
+
+// Nothing that parts do holds the agent up for good, and nothing that comes too fast is waited for: it is counted.
+func TestAgentIsBounded(t *testing.T) {
+	p := &fakePart{kind: fleet.Lease}
+	var hold chan struct{}
+	p.on = func(_ int64, what string, out *fleet.Out) {
+		switch what {
+		case "b: loop", "a: loop": // tells itself for ever
+			out.Send = append(out.Send, fleet.Message{Kind: fleet.Lease, To: "a", Body: []byte("loop")})
+		case "b: acts":
+			for i := range uint64(maxActs + 3) {
+				out.Acts = append(out.Acts, fleet.Act{Kind: fleet.Lease, Number: i, What: "wait"})
+			}
+		case "b: large":
+			out.Tell(fleet.Lease, make([]byte, fleet.MaxBody+1))
+		}
+	}
+	inBubble(t, Config{Queue: 4, Do: func(fleet.Act) error { <-hold; return nil }}, p, func(a *Agent, n *fakeNet) {
+		hold = make(chan struct{}) // within the bubble of time
+		for _, what := range []string{"loop", "acts", "large"} {
+			n.events <- fleetnet.Event{Kind: fleetnet.Message, Msg: fleet.Message{Kind: fleet.Lease, From: "b", To: "a", Body: []byte(what)}}
+		}
+		time.Sleep(2 * time.Second)
+		if got := has(a, p, "a: loop"); got < maxLocal-1 || got > maxLocal {
+			t.Errorf("told itself %d times", got)
+		}
+		for i := range maxActs + 3 {
+			if got, want := has(a, p, fmt.Sprintf("done %d true", i)), i/maxActs; got != want {
+				t.Errorf("act %d was refused %d times", i, got)
+			}
+		}
+		close(hold)
+		synctest.Wait()
+		if got := has(a, p, "done 0 false"); got != 1 {
+			t.Errorf("the first act ended %d times", got)
+		}
+		if n.entry(t).Parts[fleet.Lease] != nil {
+			t.Error("a part over size is in the entry")
+		}
+		block, blocked := make(chan struct{}), make(chan struct{})
+		a.Post(func(int64, *fleet.Out) { close(blocked); <-block })
+		<-blocked
+		taken := 0
+		for range 10 {
+			if a.Post(func(int64, *fleet.Out) {}) {
+				taken++
+			}
+		}
+		close(block)
+		if taken != 4 || a.dropped.Load() != 6 {
+			t.Errorf("%d were taken and %d dropped", taken, a.dropped.Load())
+		}
+		synctest.Wait()
+	})
+}
+
+// A process that starts with its clock behind hears of its earlier life, takes a later one, and its parts are made for that.
+func TestLaterLife(t *testing.T) {
+	earlier := fleet.NewBook(fleet.Entry{Name: "a", Incarnation: 90_000, State: fleet.Serving})
+	raw := earlier.Write(func(*fleet.Entry) {})
+	var lives []uint64
+	p := &fakePart{kind: fleet.Lease}
+	inBubble(t, Config{Make: func(life uint64) []fleet.Part { lives = append(lives, life); return []fleet.Part{p} }}, p, func(a *Agent, n *fakeNet) {
+		n.events <- fleetnet.Event{Kind: fleetnet.Entry, Bytes: raw}
+		time.Sleep(time.Second)
+		synctest.Wait()
+		if len(lives) != 2 || lives[0] != 1000 || lives[1] <= 90_000 || n.entry(t).Incarnation != lives[1] || has(a, p, "start") != 2 {
+			t.Errorf("parts were made for lives %v, the entry is of %d", lives, n.entry(t).Incarnation)
+		}
+	})
+}
+
+// Two agents on real sockets: each shows the other, entries carry figures, a message goes across, and all goroutines end.
+func TestTwoAgents(t *testing.T) {
+	t.Cleanup(func() { goleak.VerifyNone(t) })
+	at := map[string]netip.AddrPort{"a": netip.MustParseAddrPort(address(t)), "b": netip.MustParseAddrPort(address(t))}
+	agents, parts := map[string]*Agent{}, map[string]*fakePart{}
+	for self := range at {
+		open, err := fleetnet.Open(fleetnet.Config{Cluster: "x", Self: self, Bind: at[self], Reach: at[self], Names: at, Gossip: 30_000, Rejoin: 100_000})
+		if err != nil {
+			t.Fatal(err)
+		}
+		p := &fakePart{kind: fleet.Lease}
+		parts[self] = p
+		agents[self] = New(Config{Self: self, Net: open, Length: 100_000, Make: func(uint64) []fleet.Part { return []fleet.Part{p} }})
+		go agents[self].Run()
+		t.Cleanup(agents[self].Stop)
+	}
+	for self, a := range agents {
+		for by := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+			v := a.Board().Read()
+			other := v.Member(map[string]string{"a": "b", "b": "a"}[self])
+			if other != nil && !other.Suspect && len(other.Windows) > 2 {
+				break
+			}
+			if time.Now().After(by) {
+				t.Fatalf("%s sees %+v", self, v)
+			}
+		}
+	}
+	for by := time.Now().Add(20 * time.Second); has(agents["b"], parts["b"], "a: across") == 0; time.Sleep(20 * time.Millisecond) {
+		agents["a"].Post(func(_ int64, out *fleet.Out) {
+			out.Send = append(out.Send, fleet.Message{Kind: fleet.Lease, To: "b", Body: []byte("across")})
+		})
+		if time.Now().After(by) {
+			t.Fatal("no message came")
+		}
+	}
+}
+
+func address(t testing.TB) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func TestErrorsAdvise(t *testing.T) {
+	for _, e := range Errors {
+		if advice.Of(fmt.Errorf("around: %w", e)) == "" {
+			t.Errorf("%T says nothing", e)
+		}
+	}
+}
