--- a/internal/pooling/bound.go
+++ b/internal/pooling/bound.go
@@ -8,10 +8,10 @@
 
 // The confidence that a verdict needs. All of it is about one client, and errors are the whole fleet's, for evidence is joined.
 const (
-	// alpha bounds the probability that a client is ever raised to a mode in which a set-up is refused more often than on its
+	// usualUnsafe is alpha, unless the configuration says otherwise. Alpha bounds the probability that a client is ever raised to a mode in which a set-up is refused more often than on its
 	// own connections by at least the least harm below. Epoch n spends alpha/2^n of it, so that tests begun anew never
 	// add up to more.
-	alpha = 1e-4
+	usualUnsafe = 1e-4
 	// beta bounds the probability that a test denies, for an epoch, a client whose set-ups are never refused more often.
 	beta = 1e-3
 	// leastHarm is the least harm that a test must find, as a part of all the client's calls that go wrong on shared connections
@@ -32,7 +32,9 @@
 
 // bound is what the test's log likelihood ratio must reach in an epoch. By Wald's inequality a client in which the harm is the
 // least one or more ever gets there with a probability of at most alpha/2^epoch.
-func bound(epoch uint32) float64 { return math.Log(1/alpha) + float64(max(epoch, 1))*math.Ln2 }
+func bound(alpha float64, epoch uint32) float64 {
+	return math.Log(1/alpha) + float64(max(epoch, 1))*math.Ln2
+}
 
 // refuted is at or below what the test denies.
 var refuted = math.Log(beta)
@@ -40,16 +42,29 @@
 // Tally are the outcomes that a test goes by, decayed.
 type Tally struct{ Clean, Fault float64 }
 
-// bases are the lower and the upper end of the part of set-ups that is refused on own connections.
-func bases(own Tally) (low, high float64) {
-	if own.Clean+own.Fault < 1 {
-		return floorBase, floorBase
+// bases are the lower and the upper end of the part of set-ups that is refused on own connections, and what they were made
+// from: they are made anew once that has changed by a fiftieth.
+type bases struct {
+	of        Tally
+	low, high float64
+}
+
+func (b *bases) from(own Tally) {
+	near := func(a, b float64) bool { return math.Abs(a-b) <= b/50 }
+	if b.high > 0 && near(own.Clean, b.of.Clean) && near(own.Fault, b.of.Fault) {
+		return
 	}
-	high = distuv.Beta{Alpha: own.Fault + 1, Beta: own.Clean + 1e-9}.Quantile(1 - lowBase)
-	if own.Fault >= 1 {
-		low = distuv.Beta{Alpha: own.Fault, Beta: own.Clean + 1}.Quantile(lowBase)
+	b.of, b.low, b.high = own, floorBase, floorBase
+	switch {
+	case own.Clean+own.Fault < 1:
+		return
+	case own.Fault < 1: // as the quantile below would have it, at once
+		b.high = 1 - math.Pow(lowBase, 1/(own.Clean+own.Fault))
+	default:
+		b.low = distuv.Beta{Alpha: own.Fault, Beta: own.Clean + 1}.Quantile(lowBase)
+		b.high = distuv.Beta{Alpha: own.Fault + 1, Beta: own.Clean + 1e-9}.Quantile(1 - lowBase)
 	}
-	return max(floorBase, low), max(floorBase, high)
+	b.low, b.high = max(floorBase, b.low), max(floorBase, b.high)
 }
 
 // likelihood is the logarithm of how much better no harm at all explains the outcomes than the least harm does. Greater harm
--- a/internal/session/exchange_test.go
+++ b/internal/session/exchange_test.go
@@ -54,7 +54,7 @@
 
 // player is the world round a session, its clock included.
 type player struct {
-	t      *testing.T
+	t      testing.TB
 	s      *Session
 	now    int64
 	conns  map[string]*fakeConn
@@ -64,7 +64,10 @@
 	ended  bool
 	// leaving: no new callers are wanted any more. holds: it is told only by the test that nobody waits.
 	leaving, holds bool
-	split          func(n int) int // where what arrives is split, of so many bytes; nil: nowhere
+	laner          *fakeLaner              // nil: calls are given no lanes
+	wrote          func(*fakeConn, []byte) // takes what is written, in place of the lines; nil: they do
+	shut, came     func(*fakeConn)         // are told of connections that were closed, and that came up; nil: not
+	split          func(n int) int         // where what arrives is split, of so many bytes; nil: nowhere
 }
 
 type fakeConn struct {
@@ -83,6 +86,10 @@
 	if c.dead {
 		return 0, errors.New("closed")
 	}
+	if c.p.wrote != nil {
+		c.p.wrote(c, b)
+		return len(b), nil
+	}
 	c.p.note(c.name + " < " + render(b))
 	return len(b), nil
 }
@@ -91,6 +98,9 @@
 	if !c.dead {
 		c.dead = true
 		c.p.note(c.name + " shut")
+		if c.p.shut != nil {
+			c.p.shut(c)
+		}
 	}
 	return nil
 }
@@ -108,8 +118,14 @@
 	case "refuse":
 		a.Err = errors.New("refused")
 	default:
+		if p.s != nil && p.s.dials[id] != nil && p.s.dials[id].Number != 0 {
+			name = fmt.Sprintf("%s.%d", name, p.s.dials[id].Number)
+		}
 		conn := &fakeConn{p: p, name: name}
 		p.conns[name], a.Conn = conn, conn
+		if p.came != nil && name[0] == 'o' {
+			p.came(conn)
+		}
 	}
 	p.ready = append(p.ready, a)
 }
@@ -164,11 +180,18 @@
 		p.step(Arrival{Kind: Reload, At: p.now, Update: membership.Update{Address: "journal2"}})
 		return
 	}
+	if words[1] == "verdict" {
+		p.laner.modes[words[2]] = words[3]
+		return
+	}
 	name, conn := words[1], p.conns[words[1]]
 	switch words[2] {
 	case "open":
 		conn = &fakeConn{p: p, name: name}
 		p.conns[name] = conn
+		if p.laner != nil {
+			p.laner.opens = name
+		}
 		kind := Accepted
 		if name[0] == 'q' {
 			kind = Asked
@@ -196,7 +219,7 @@
 }
 
 // parse reads the notation of bytes.
-func parse(t *testing.T, text string) []byte {
+func parse(t testing.TB, text string) []byte {
 	var open []int
 	var b []byte
 	for i := 0; i < len(text); i++ {
@@ -251,9 +274,10 @@
 	return text
 }
 
-func newPlayer(t *testing.T) *player {
+func newPlayer(t *testing.T) *player { return newPlayerOf(t, Config{Sockets: 1024, Seed: 7}) }
+
+func newPlayerOf(t testing.TB, cfg Config) *player {
 	p := &player{t: t, conns: map[string]*fakeConn{}, policy: map[string]string{}}
-	cfg := Config{Sockets: 1024, Seed: 7}
 	var first wire.Known
 	for text, into := range map[string]any{settings: &cfg.Settings, known: &first} {
 		if err := json.Unmarshal([]byte(text), into); err != nil {
@@ -340,8 +364,10 @@
 	}
 }
 
-func TestExchanges(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txt")
+func TestExchanges(t *testing.T) { playFiles(t, "testdata/*.txt", newPlayer) }
+
+func playFiles(t *testing.T, pattern string, newPlayer func(*testing.T) *player) {
+	files, err := filepath.Glob(pattern)
 	if err != nil || len(files) == 0 {
 		t.Fatalf("no recordings: %v", err)
 	}
@@ -360,7 +386,7 @@
 				switch {
 				case strings.HasPrefix(line, "#"):
 					p.lines = append(p.lines, line)
-				case len(words) > 2 && words[2] == "<", words[len(words)-1] == "shut", words[len(words)-1] == "end":
+				case len(words) > 2 && words[2] == "<", words[1] == "see", words[len(words)-1] == "shut", words[len(words)-1] == "end":
 				default:
 					if !started {
 						started = true
@@ -404,7 +430,7 @@
 				}
 			}
 		}
-		if len(words) < 4 || words[1][0] == 'j' {
+		if len(words) < 4 || words[1][0] == 'j' || words[1] == "see" || words[1] == "verdict" {
 			continue
 		}
 		for b := parse(t, words[3]); len(b) > 0; {
