--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -139,9 +139,12 @@
 	return t, nil
 }
 
-// Configure gives the service the clock that the parts go by.
+// Configure gives the service the clock that the parts go by, and what gives its calls lanes.
 func (t *together) Configure(c *service.Config) {
 	c.Clock = t.clock
+	if t.pools != nil {
+		c.Laner, c.Watch, c.Application = t.pools, t.base.Pooling.Mode == "watch", t.base.Application.Name
+	}
 }
 
 // Front puts what the parts need of the calls before a decider, the meter in front of all.
--- a/internal/member/parts.go
+++ b/internal/member/parts.go
@@ -38,7 +38,9 @@
 	t.stage = stage.New(stage.Config{Name: t.member.Name, Zone: t.member.Zone, Lease: t.lessor, Running: running, Concluded: concluded, Rules: stageRules()})
 	parts := []fleet.Part{t.lessor, t.stage}
 	if t.table != nil {
-		k, err := keeper.New(t.keepers(life, t.lessor), t.table, t.queue)
+		cfg := t.keepers(life, t.lessor)
+		cfg.Barred = t.stage.Soon
+		k, err := keeper.New(cfg, t.table, t.queue)
 		if err != nil {
 			t.log.Error("no numbers are kept", "error", err, advice.Attr(err))
 		} else {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -99,6 +99,9 @@
 	return s, err
 }
 
+// With says whom the process serves with. It comes before the first Read.
+func (r *Reader) With(c Company) { r.company = c }
+
 // Path is the process's own file.
 func (r *Reader) Path() string { return r.path }
 
@@ -122,7 +125,7 @@
 		return service.Config{}, err
 	}
 	own := s
-	if r.applied != "" && r.taken == nil && r.company.Released() {
+	if r.applied != "" && r.taken == nil && r.company != nil && r.company.Released() {
 		r.applied = ""
 	}
 	if r.applied != "" {
@@ -334,9 +337,11 @@
 	if Join == nil {
 		return ErrProgram
 	}
-	if r.company, err = Join(r, s, o.Member, log); err != nil {
+	company, err := Join(r, s, o.Member, log)
+	if err != nil {
 		return err
 	}
+	r.With(company)
 	signals = r.company.Forward(signals)
 	go r.company.Run()
 	defer r.company.Leave()
