Keepers: find more lines by doubling steps, and tell rates more roughly

With 400 lines all in use by calls of before the contention, one line a quarter of a second was found where thirteen a second became free. A step that finds all it tried is doubled, a busy end makes it one again. Rates in an entry are told as powers of two and a half between, once a second, as every change of an entry costs every process a reading.

--- a/internal/keeper/book.go
+++ b/internal/keeper/book.go
@@ -75,6 +75,7 @@
 	probe  int64 // when one more is tried
 	pause  int64 // until the next such time
 	sought bool  // whether the last line tried is there is not known yet
+	step   int64 // lines tried at once
 
 	ended  float64 // lines that became free, decayed
 	counts int64   // as of when
@@ -106,7 +107,7 @@
 }
 
 func newBook(cfg *Config, key, thing string, now int64, g lease.Grant) (*book, error) {
-	b := &book{cfg: cfg, key: key, thing: thing, fence: g.Fence, begun: now, lines: firstLines, slow: true, counts: now, unmet: now,
+	b := &book{cfg: cfg, key: key, thing: thing, fence: g.Fence, begun: now, lines: firstLines, slow: true, counts: now, unmet: now, step: 1,
 		pause: probeFirst, dirty: true}
 	r, err := readRecord(key, g.Value)
 	if r.Lines > 0 {
@@ -269,7 +270,7 @@
 	}
 	switch {
 	case busy > 0:
-		b.slow, b.sought = false, false
+		b.slow, b.sought, b.step = false, false, 1
 		b.lines = max(b.lines-busy, calls, 1)
 		b.pause = min(2*b.pause, probeMost)
 		if b.lines < b.known {
@@ -282,10 +283,11 @@
 		b.dirty = true
 	case b.sought && calls >= b.lines: // the line that was tried is there: the next one may be, too
 		b.sought, b.pause, b.probe = false, probeFirst, now+probeFirst
+		b.step = min(2*b.step, 1+b.lines/16)
 	}
 }
 
-// seek tries one more line when all that are known are in use and calls are turned away.
+// seek tries one more line, or twice as many as were found the last time, when all that are known are in use and calls are turned away.
 func (b *book) seek(now int64) {
 	if b.most > 0 && b.lines >= b.most || b.slow || now < b.probe || now-b.unmet > wantLately || b.unknown(now) > 0 {
 		return
@@ -293,7 +295,10 @@
 	if held, _ := b.held(now); held < b.lines {
 		return
 	}
-	b.lines, b.sought = b.lines+1, true
+	b.lines, b.sought = b.lines+b.step, true
+	if b.most > 0 {
+		b.lines = min(b.lines, b.most)
+	}
 	b.probe = now + b.pause
 	b.dirty = true
 }
--- a/internal/keeper/choice.go
+++ b/internal/keeper/choice.go
@@ -326,10 +326,10 @@
 	return s
 }
 
-// rough rounds to about one part in eight, so that an entry does not change with every call.
+// rough rounds down to a power of two, or one and a half of one, so that an entry does not change with every call.
 func rough(n int64) int64 {
 	step := int64(1)
-	for n/step >= 16 {
+	for n/step >= 4 {
 		step *= 2
 	}
 	return n / step * step
