--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"os"
+	"path/filepath"
+	"syscall"
 
 	"github.com/spf13/cobra"
 
@@ -60,12 +62,15 @@
 }
 
 func sidecarCommand() *cobra.Command {
-	var path, format, level string
+	var o sidecar.Options
 	c := &cobra.Command{Use: "sidecar --config FILE", Short: "Check a sidecar's file, then serve by it", Args: cobra.NoArgs,
 		Long: "Checks the file with what \"config check\" uses and refuses to start on findings, with the same messages and\n" +
 			"exit code 1; then serves. SIGHUP reads the file anew, SIGTERM ends when all that was taken is answered.",
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			err := sidecar.Serve(path, format, level, cmd.ErrOrStderr())
+			if o.Member != "" && sidecar.Join == nil {
+				return &coded{Found, become(memberProgram)}
+			}
+			err := sidecar.Serve(o, cmd.ErrOrStderr())
 			var found *sidecar.FindingsError
 			var unread *sidecar.UnreadableError
 			switch {
@@ -79,13 +84,31 @@
 			}
 			return nil
 		}}
-	c.Flags().StringVar(&path, "config", "", "the file that \"config write\" made")
-	c.Flags().StringVar(&format, "log-format", "", "text or json, in place of what the file says")
-	c.Flags().StringVar(&level, "log-level", "", "debug, info, warn or error, in place of what the file says")
+	c.Flags().StringVar(&o.Path, "config", "", "the file that \"config write\" made")
+	c.Flags().StringVar(&o.Format, "log-format", "", "text or json, in place of what the file says")
+	c.Flags().StringVar(&o.Level, "log-level", "", "debug, info, warn or error, in place of what the file says")
+	c.Flags().StringVar(&o.Member, "member", os.Getenv(sidecar.MemberVariable), "which [member] of the file's fleet this process is; else what "+sidecar.MemberVariable+" says")
 	_ = c.MarkFlagRequired("config")
 	return c
 }
 
+// memberProgram is the program for sidecars that speak with each other. It lies beside this one, and takes the same words.
+const memberProgram = "pewterwheel-member"
+
+// become turns this process into one of another program beside its own, with the same words and environment. It returns
+// only if that cannot be.
+func become(name string) error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(filepath.Dir(self), name)
+	if err := syscall.Exec(path, append([]string{path}, os.Args[1:]...), os.Environ()); err != nil {
+		return fmt.Errorf("%w (%s: %w)", sidecar.ErrProgram, path, err)
+	}
+	return nil
+}
+
 // Main carries out the program's own command line.
 func Main() {
 	if len(os.Args) == 1 { // the platform's way: nothing is built up for commands
--- /dev/null
+++ b/internal/member/fail.go
@@ -0,0 +1,12 @@
+//go:build !failpoints
+
+package member
+
+import (
+	"pewterwheel/internal/fleet"
+	"pewterwheel/internal/lease"
+)
+
+func (*together) failParts() []fleet.Part { return nil }
+
+func doctored(c lease.Config) lease.Config { return c }
