What own connections refuse is not forgotten while a client is raised

The base faded while a raised client sent nothing on own connections, so offices' usual faults looked like harm and clients fell: in an installation of 20 clients 4 of 18 safe ones went up and down. The base and the after test now fade by session only.

--- a/internal/fleetsim/populations/populations_test.go
+++ b/internal/fleetsim/populations/populations_test.go
@@ -131,7 +131,13 @@
 			continue
 		}
 		s := sum(Population(uint64(setting("POOLING_SEED", 1)), n, setting("POOLING_AT", 2), cfg, setting("POOLING_MOST", 200_000),
-			func(_ int, r *rand.Rand) Habit { return Draw(r, w, rarest) }))
+			func(_ int, r *rand.Rand) Habit {
+				h := Draw(r, w, rarest)
+				if once := setting("POOLING_ONCE", 0); once > 0 { // in so many calls, all of them
+					h.Rate = 1 / float64(once)
+				}
+				return h
+			}))
 		fmt.Printf("%s | %s | %d calls\n", w, &s, s.calls)
 	}
 }
--- a/internal/pooling/part.go
+++ b/internal/pooling/part.go
@@ -776,7 +776,7 @@
 		}
 		least := 0.
 		switch Sign(s) {
-		case AfterClean:
+		case OwnClean, OwnFault, OwnMarkedClean, OwnMarkedFault, AfterClean:
 			if c.mode > BySession {
 				continue // a raised client has few set-ups on own connections, or none, and must not fall for that
 			}
