--- a/internal/member/fail_on.go
+++ b/internal/member/fail_on.go
@@ -2,7 +2,27 @@
 
 package member
 
-import "pewterwheel/internal/fleet"
+import (
+	"time"
 
-// failParts are parts that only tests have.
-func (t *together) failParts() []fleet.Part { return nil }
+	"pewterwheel/internal/agent"
+	"pewterwheel/internal/failpoint"
+	"pewterwheel/internal/fleet"
+	"pewterwheel/internal/lease"
+)
+
+// failParts are parts that only tests have: one that notes who is seen, and one that claims and acts, if it is told to.
+func (t *together) failParts() []fleet.Part {
+	return append([]fleet.Part{agent.NewWatcher()}, agent.NewClaimer(t.lessor)...)
+}
+
+// doctored is a lease's configuration as failpoints want it.
+func doctored(c lease.Config) lease.Config {
+	if d, err := time.ParseDuration(failpoint.Value("lease-believed")); err == nil {
+		c.Lease = d.Microseconds() // others believe in another one
+	}
+	if failpoint.On("lease-no-floor") {
+		c.Floor = 0
+	}
+	return c
+}
