--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -21,6 +21,7 @@
 	"golang.org/x/sys/unix"
 
 	"pewterwheel/internal/advice"
+	"pewterwheel/internal/failpoint"
 	"pewterwheel/internal/fleet"
 	"pewterwheel/internal/fleetnet"
 )
@@ -140,6 +141,9 @@
 	if cfg.Clock == nil {
 		cfg.Clock = Monotonic
 	}
+	if failpoint.Enabled {
+		cfg.Clock = rated(cfg.Clock)
+	}
 	if cfg.Wall == nil {
 		cfg.Wall = func() int64 { return time.Now().UnixMicro() }
 	}
@@ -163,6 +167,9 @@
 	a.book = fleet.NewBook(fleet.Entry{Name: cfg.Self, Incarnation: uint64(max(1, cfg.Wall())), Zone: cfg.Zone, Program: cfg.Program,
 		Settings: cfg.Settings, Roster: cfg.Roster, State: fleet.Starting})
 	a.book.Stale, a.book.Absent = cfg.Stale, cfg.Absent
+	if failpoint.On("gone-is-left") {
+		a.book.Absent = 1
+	}
 	return a
 }
 
@@ -309,6 +316,9 @@
 		a.deliver(e.Msg)
 		a.carry()
 	case fleetnet.Entry:
+		if failpoint.On("deaf-own") && ofName(e.Bytes, a.cfg.Self) {
+			return
+		}
 		name, spread, err := a.book.Take(a.now, e.Bytes)
 		if err != nil && (a.twice == 0 || a.now-a.twice > 60_000_000) {
 			a.twice = a.now
@@ -519,6 +529,9 @@
 
 // Figures gives the figures as they were at the end of the last window. Any goroutine may ask.
 func (a *Agent) Figures(put func(name string, n uint64, gauge bool)) {
+	if failpoint.On("figures-wait") {
+		time.Sleep(300 * time.Millisecond)
+	}
 	for _, f := range a.metrics.gathered() {
 		put(f.name, f.n, f.gauge)
 	}
--- a/internal/fleetnet/net.go
+++ b/internal/fleetnet/net.go
@@ -17,6 +17,7 @@
 	"github.com/hashicorp/memberlist"
 
 	"pewterwheel/internal/advice"
+	"pewterwheel/internal/failpoint"
 	"pewterwheel/internal/fleet"
 )
 
@@ -422,6 +423,9 @@
 		return
 	}
 	n.counts.entries.Add(1)
+	if failpoint.On("net-deaf") {
+		return
+	}
 	n.came(Event{Kind: Entry, Bytes: b})
 }
 
