--- a/internal/member/fail_on.go
+++ b/internal/member/fail_on.go
@@ -11,16 +11,9 @@
 	"pewterwheel/internal/lease"
 )
 
-// failParts are parts that only tests have: one that notes who is seen, and one that claims and acts, on a lease of its own.
+// failParts are parts that only tests have: one that notes who is seen, and one that claims and acts, if it is told to.
 func (t *together) failParts() []fleet.Part {
-	parts := []fleet.Part{agent.NewWatcher()}
-	if failpoint.Value("claim") == "" {
-		return parts
-	}
-	f := t.base.Fleet
-	l := lease.New(doctored(lease.Config{Self: t.member.Name, Incarnation: uint64(time.Now().UnixMicro()), Roster: f.RosterNumber, Names: f.Roster,
-		Lease: f.Lease, Drift: f.Drift, Floor: uint64(time.Now().UnixMilli()), Renewals: true}))
-	return append(append(parts, l), agent.NewClaimer(l)...)
+	return append([]fleet.Part{agent.NewWatcher()}, agent.NewClaimer(t.lessor)...)
 }
 
 // doctored is a lease's configuration as failpoints want it.
--- a/internal/pooling/pooling_test.go
+++ b/internal/pooling/pooling_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -197,7 +198,7 @@
 func (o *one) mode() pooling.Mode { return o.loop.Verdict(key).Mode }
 
 // enough is more clean outcomes than a raise by call needs at full trust, and fewer than at half of it.
-var enough = map[pooling.Sign]uint32{pooling.CallClean: uint32(1.5 * pooling.Bound(1) / pooling.LeastHarm), pooling.Overlapped: 1000}
+var enough = map[pooling.Sign]uint32{pooling.CallClean: uint32(1.5 * pooling.Bound(1e-4, 1) / pooling.LeastHarm), pooling.Overlapped: 1000}
 
 var guards = []struct {
 	name string
@@ -393,6 +394,16 @@
 	same(t, pooling.Taken, o.answered(true))
 }
 
+// TestWatch: the verdict is reached and nothing goes by it.
+func TestWatch(t *testing.T) {
+	o := newOne(t, "", pooling.Config{Watch: true})
+	o.loop.Count(o.c, pooling.CallClean, enough[pooling.CallClean])
+	o.loop.Count(o.c, pooling.Overlapped, 1000)
+	o.pass(1_000_000, 100_000)
+	same(t, pooling.ByCall, o.part.Opinion(key))
+	same(t, pooling.BySession, o.mode())
+}
+
 // ---- bounds ----
 
 // TestBounds: garbage, more clients than fit, more denials than an entry holds, a ring that nobody empties.
@@ -420,6 +431,11 @@
 		holds(t, len(m.Body) <= fleet.MaxBody)
 	}
 
+	for _, cfg := range []pooling.Config{{}, {Self: "a"}, {Self: "a", Loop: o.loop, Unsafe: 2}} {
+		_, err := pooling.New(cfg)
+		var bad *pooling.ConfigError
+		holds(t, errors.As(err, &bad))
+	}
 	l := pooling.NewLoop(1)
 	for i := range pooling.SessionID(1000) { // far more clients than the ring has slots
 		l.Count(l.Open(1, i+1, fmt.Sprint("app", i), "127.0.0.1"), pooling.OwnClean, 3)
@@ -464,6 +480,32 @@
 	}
 }
 
+// BenchmarkTick is a tenth of a second of a part with 1,000 clients that all call, among 24 processes.
+func BenchmarkTick(b *testing.B) {
+	var others []fleet.Member
+	for i := range 23 {
+		others = append(others, serving(fmt.Sprintf("p%02d", i)))
+	}
+	o := newOne(b, "", pooling.Config{}, others...)
+	var ids []pooling.ClientID
+	for i := range 1000 {
+		ids = append(ids, o.loop.Open(o.now, pooling.SessionID(5000+i), fmt.Sprint("app", i), "127.0.0.1"))
+	}
+	for b.Loop() {
+		for i, id := range ids {
+			o.loop.Count(id, pooling.OwnClean, 50)
+			o.loop.Count(id, pooling.Overlapped, 50)
+			o.loop.Count(id, pooling.OwnFault, uint32(1+i%2))
+			if i%250 == 249 {
+				o.now += 25_000
+				o.loop.Round(o.now)
+				o.part.Tick(o.now, &o.out)
+			}
+		}
+		o.out = fleet.Out{}
+	}
+}
+
 // TestSigns: the table has a line for each sign, in order, and a witness denies something, nothing else does.
 func TestSigns(t *testing.T) {
 	for i, m := range pooling.Signs {
