Spend a quarter of the cold budget in each node, so that a fleet that has just started keeps it

Cause: decide.go coldRoom drips coldShare of N by usual(), which counts calls that no office took in time (askedPart) and adds unseen to a young count: 1.6 times what offices take, 5 s after such a start. With what begun() earns (coldEarned, 1.2 times what begins) that is 0.4*3*1.6 + 1.2 = 3.1 times the capacity, of which the settings allow 3; with a quarter 2.4. Ruled out: the budgets' first fill (random), a shorter life of unspent budget (0.91 instead of 1.17, costs a field).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -53,7 +53,7 @@
 	// patience times Td, or delayTimes the usual delay if that is more, without any answer is silence.
 	patience, delayTimes = 3.0, 4.0
 	// coldShare is the part of this node's share of the fall-over budget that it spends on a cold server.
-	coldShare = 0.4
+	coldShare = 0.25
 	// coldEarned is what a set-up that began in time adds to a cold server's budget of one send.
 	coldEarned = 1.2
 	// longLine open set-ups are too many to move them all up for each one that is over.
