Decide what the process does that stays when its program is replaced

Need: a change of program has each process start its successor, and one that dies in the change has to come back in its old version, under the number that the service manager knows. The guard's decisions are a machine without I/O: when to start, how long to pause, when to end.

--- /dev/null
+++ b/internal/guard/guard_test.go
@@ -0,0 +1,81 @@
+package guard
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Whatever happens in whatever order: while it is not told to stop, and no process ended cleanly, a guard with no process left
+// waits for a start, never sooner than the first pause and never later than the longest; it never starts beside a living one,
+// and once it is to stop it never starts again.
+func TestOneProcessServes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now, alive, due := int64(0), 1, int64(-1)
+		g := New(now)
+		take := func(s Step) bool {
+			if s.Start {
+				require.Zero(t, alive, "started beside a living one")
+				require.False(t, g.stopping)
+				require.GreaterOrEqual(t, s.StartAt, now+FirstPause)
+				require.LessOrEqual(t, s.StartAt, now+MostPause)
+				due = s.StartAt
+			}
+			if s.Exit {
+				require.Zero(t, alive, "left a process alone")
+			}
+			return s.Exit
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += rapid.Int64Range(1, 2*Steady).Draw(t, "wait")
+			if due >= 0 && now >= due {
+				due = -1
+				done := rapid.Bool().Draw(t, "starts")
+				if done {
+					alive++
+				}
+				if take(g.Started(now, done)) {
+					return
+				}
+			}
+			switch what := rapid.SampledFrom([]string{"dies", "dies", "ends", "hands over", "stop"}).Draw(t, "what"); {
+			case what == "hands over" && alive == 1:
+				alive = 2
+			case what == "stop":
+				due = -1
+				if take(g.Stop(alive > 0)) {
+					return
+				}
+			case alive > 0 && (what == "dies" || what == "ends"):
+				alive--
+				if take(g.Ended(now, what == "ends", alive > 0)) {
+					return
+				}
+				if alive == 0 {
+					require.True(t, due >= 0, "nobody serves, and nobody will")
+				}
+			}
+		}
+	})
+}
+
+// One that dies at once again and again is started ever more seldom; one that had lived for long is started soon.
+func TestPauses(t *testing.T) {
+	g, now := New(0), int64(0)
+	var pauses []int64
+	for range 12 {
+		s := g.Ended(now, false, false)
+		require.True(t, s.Start)
+		pauses = append(pauses, s.StartAt-now)
+		now = s.StartAt
+		require.Equal(t, Step{}, g.Started(now, true))
+	}
+	require.Equal(t, int64(FirstPause), pauses[0])
+	require.Equal(t, int64(4*FirstPause), pauses[2])
+	require.Equal(t, int64(MostPause), pauses[11])
+	s := g.Ended(now+Steady, false, false)
+	require.Equal(t, now+Steady+FirstPause, s.StartAt)
+	require.Equal(t, uint64(13), g.Deaths)
+	require.Equal(t, Step{Exit: true, Code: 1}, func() Step { g.Stop(true); return g.Ended(now, false, false) }())
+}
