--- a/internal/member/parts.go
+++ b/internal/member/parts.go
@@ -191,9 +191,9 @@
 func stageRules() stage.Rules {
 	if failpoint.Enabled {
 		if by, err := parseFactor(failpoint.Value("stage")); err == nil {
-			const second = 1e6
+			const second, usualWindow = 1e6, 1e6 // figures come by windows of a second
 			t := func(s float64) int64 { return int64(s * second * by) }
-			return stage.Rules{Baseline: t(120), Warm: t(30), Slot: t(10), Look: t(60), Most: t(600), Patience: t(60), Lost: t(20), Ask: t(30), Repeat: t(1)}
+			return stage.Rules{Baseline: t(120), Warm: t(30), Slot: max(t(10), usualWindow), Look: max(t(60), 3*usualWindow), Most: t(600), Patience: max(t(60), 10*second)}
 		}
 	}
 	return stage.Rules{}
