--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -139,11 +139,11 @@
 	return t, nil
 }
 
-// Configure gives the service the clock that the parts go by, and what gives its calls lanes.
+// Configure gives the service the clock that the parts go by, and what gives calls lanes at the offices.
 func (t *together) Configure(c *service.Config) {
 	c.Clock = t.clock
 	if t.pools != nil {
-		c.Laner, c.Watch, c.Application = t.pools, t.base.Pooling.Mode == "watch", t.base.Application.Name
+		c.Laner, c.Application = t.pools, t.base.Application.Name
 	}
 }
 
