Bring a new program out by take-over, with the old process standing by as its guard

Need: a change names a new program file too. Each process starts its successor, which listens beside it on both addresses, says on a pipe that it serves, and joins the fleet when this one has left. The old process becomes the guard under its own number: it passes signals on and starts the concluded version if what serves dies.

--- a/cmd/pewterwheel-member/main.go
+++ b/cmd/pewterwheel-member/main.go
@@ -4,12 +4,17 @@
 package main
 
 import (
+	"os"
+
 	"pewterwheel/internal/cli"
 	"pewterwheel/internal/member"
 	"pewterwheel/internal/sidecar"
 )
 
 func main() {
+	if len(os.Args) > 1 && os.Args[1] == member.GuardWord {
+		os.Exit(member.Guard(os.Args[2:]))
+	}
 	sidecar.Join = member.Join
 	cli.Main()
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -35,8 +35,9 @@
 	Board               *fleet.Board // nil: one of its own
 	// Make makes the parts, one of a kind at the most, for a life of this number. They are made when the process has had time to
 	// hear of an earlier life of its own, whose clock may have been ahead; and anew, knowing nothing, if it hears of one later.
-	Make func(life uint64) []fleet.Part
-	Wake <-chan struct{} // asks for a Tick of all parts before it is due; nil: nothing does
+	Make  func(life uint64) []fleet.Part
+	First map[fleet.Kind][]byte // parts of the own entry until the modules tell theirs
+	Wake  <-chan struct{}       // asks for a Tick of all parts before it is due; nil: nothing does
 	// Do carries out an act; it may take its time, on a goroutine of the agent's. What came of it goes to Part.Done. nil: every
 	// act fails with an *ActError.
 	Do  func(fleet.Act) error
@@ -171,7 +172,7 @@
 	a := &Agent{cfg: cfg, board: cfg.Board, log: cfg.Log, posted: make(chan func(int64, *fleet.Out), cfg.Queue),
 		acts: make(chan ended, maxActs), states: make(chan fleet.State, 8), stop: make(chan struct{}), over: make(chan struct{}), slots: make(chan struct{}, maxActs), metrics: newMetrics()}
 	a.book = fleet.NewBook(fleet.Entry{Name: cfg.Self, Incarnation: uint64(max(1, cfg.Wall())), Zone: cfg.Zone, Program: cfg.Program,
-		Settings: cfg.Settings, Roster: cfg.Roster, State: fleet.Starting})
+		Settings: cfg.Settings, Roster: cfg.Roster, State: fleet.Starting, Parts: cfg.First})
 	a.book.Stale, a.book.Absent = cfg.Stale, cfg.Absent
 	if failpoint.On("gone-is-left") {
 		a.book.Absent = 1
@@ -563,7 +564,9 @@
 	for _, p := range a.parts {
 		p.Figures(put)
 	}
-	a.metrics.set(fs)
+	if err := a.metrics.set(fs); err != nil {
+		a.log.Error("figures stay as they were", "error", err)
+	}
 }
 
 // Figures gives the figures as they were at the end of the last window. Any goroutine may ask.
--- a/internal/member/fail_on.go
+++ b/internal/member/fail_on.go
@@ -3,6 +3,8 @@
 package member
 
 import (
+	"os"
+	"syscall"
 	"time"
 
 	"pewterwheel/internal/agent"
@@ -12,7 +14,11 @@
 )
 
 // failParts are parts that only tests have: one that notes who is seen, and one that claims and acts, if it is told to.
+// With the failpoint die=DURATION the process dies so long after its parts were made.
 func (t *together) failParts() []fleet.Part {
+	if d, err := time.ParseDuration(failpoint.Value("die")); err == nil {
+		time.AfterFunc(d, func() { _ = syscall.Kill(os.Getpid(), syscall.SIGKILL) })
+	}
 	return append([]fleet.Part{agent.NewWatcher()}, agent.NewClaimer(t.lessor)...)
 }
 
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -69,13 +69,12 @@
 }
 
 // Errors are the errors of this package that concern several processes, for the operators' page.
-var Errors = []advice.Advised{&MemberError{}, &ApplyError{}}
+var Errors = []advice.Advised{&MemberError{}, &ApplyError{}, &SuccessorError{}}
 
 var (
-	errDigest  = errors.New("it is not the file that the change names: its digest is another")
-	errLate    = errors.New("the settings were not taken in time")
-	errProgram = errors.New("this version changes settings alone, not its program")
-	errOther   = errors.New("it is the file of another application")
+	errDigest = errors.New("it is not the file that the change names: its digest is another")
+	errLate   = errors.New("the settings were not taken in time")
+	errOther  = errors.New("it is the file of another application")
 )
 
 // together is what one process has to do with others. It is made only where the file has a fleet and the process a name.
@@ -96,6 +95,9 @@
 	hup    chan<- os.Signal
 	stop   chan struct{}
 	over   chan struct{}
+	ends   chan os.Signal // this process's own, where its successor serves
+	heir   succession     // what its predecessor handed on
+	tells  *os.File       // where the predecessor hears that it serves; nil: nobody waits
 
 	// Of the agent's goroutine.
 	lessor *lease.Part
@@ -108,6 +110,7 @@
 	concluded stage.Target   // what it would come up by
 	last      config.Sidecar // its own file as it was last read
 	doing     sync.Mutex     // one act on the settings at a time
+	successor int            // the process that serves in this one's place; 0: none
 }
 
 var _ sidecar.Company = (*together)(nil)
@@ -121,7 +124,7 @@
 	if !ok {
 		return nil, &MemberError{name, "the file has no such [member]"}
 	}
-	t := &together{reader: r, log: log, base: s, last: s, member: m, state: fleet.Starting, stop: make(chan struct{}), over: make(chan struct{}),
+	t := &together{reader: r, log: log, base: s, last: s, member: m, state: fleet.Starting, stop: make(chan struct{}), over: make(chan struct{}), ends: make(chan os.Signal, 1),
 		clock: service.Clock(), file: r.Path() + ".concluded"}
 	t.wall = time.Now().UnixMicro()
 	if failpoint.Enabled {
@@ -136,12 +139,13 @@
 		t.pools = pooling.NewLoop(uint64(t.wall))
 	}
 	t.recall()
+	t.succeeds()
 	return t, nil
 }
 
 // Configure gives the service the clock that the parts go by, and what gives calls lanes at the offices.
 func (t *together) Configure(c *service.Config) {
-	c.Clock = t.clock
+	c.Clock, c.Beside = t.clock, true
 	if t.pools != nil {
 		c.Laner, c.Application = t.pools, t.base.Application.Name
 	}
@@ -153,7 +157,7 @@
 		inner = keeper.NewFront(t.keepers(uint64(t.wall), nil), set, inner, t.table, t.queue)
 	}
 	m := meter.New(set, classes, inner)
-	m.Started = func() { t.now(fleet.Serving) }
+	m.Started = func() { t.now(fleet.Serving); t.serves() }
 	m.Also = func(put func(name string, n uint64, gauge bool)) {
 		if a := t.agent.Load(); a != nil {
 			a.Figures(put)
@@ -213,7 +217,7 @@
 	}
 	digest, _ := t.reader.Going()
 	a := agent.New(agent.Config{Self: t.member.Name, Zone: t.member.Zone, Program: Version(), Settings: digest, Roster: t.base.Fleet.RosterNumber,
-		Net: net, Board: &t.board, Make: t.make, Wake: t.wakes(), Do: t.do, Log: t.log, Clock: t.clock, Wall: func() int64 { return t.wall }, Window: t.window})
+		Net: net, Board: &t.board, Make: t.make, First: map[fleet.Kind][]byte{fleet.Stage: stage.First(t.running, t.concluded)}, Wake: t.wakes(), Do: t.do, Log: t.log, Clock: t.clock, Wall: func() int64 { return t.wall }, Window: t.window})
 	ran := make(chan struct{})
 	go func() { a.Run(); close(ran) }()
 	t.mu.Lock()
@@ -232,6 +236,7 @@
 func (t *together) Leave() {
 	close(t.stop)
 	<-t.over
+	t.stand()
 }
 
 // Forward passes signals on to the service, and takes from them what the others have to know.
@@ -239,7 +244,16 @@
 	to := make(chan os.Signal, cap(signals)+1)
 	t.hup = to
 	go func() {
-		for sig := range signals {
+		for {
+			var sig os.Signal
+			var open bool
+			select {
+			case sig, open = <-signals:
+				if !open {
+					return
+				}
+			case sig = <-t.ends:
+			}
 			if sig == syscall.SIGTERM || sig == syscall.SIGINT {
 				t.now(fleet.Draining)
 				t.post(func(now int64, out *fleet.Out) {
@@ -294,8 +308,8 @@
 	t.doing.Lock()
 	defer t.doing.Unlock()
 	path := t.expand(to.Settings)
-	if to.Program != "" {
-		return &ApplyError{t.expand(to.Program), errProgram}
+	if t.apart(to) {
+		return t.succeed(to)
 	}
 	text, err := os.ReadFile(cmp.Or(path, t.reader.Path()))
 	if err != nil {
--- a/internal/member/parts.go
+++ b/internal/member/parts.go
@@ -86,6 +86,7 @@
 		return
 	}
 	target, err := t.target(*s.Change)
+	target = t.whole(target)
 	if err == nil {
 		err = t.stage.Propose(now, target, out)
 	}
@@ -120,7 +121,7 @@
 
 // conclude writes down by what this process comes up from now on, so that it is there whole or not at all.
 func (t *together) conclude(to stage.Target) error {
-	text, err := json.Marshal(to)
+	text, err := json.Marshal(outcome{to, t.expand(to.Program)})
 	if err != nil {
 		return &ApplyError{t.file, err}
 	}
@@ -187,7 +188,8 @@
 	return true
 }
 
-// stageRules are the rules of changes. A build for tests may have them in less time, as by stage=0.05 in a twentieth.
+// stageRules are the rules of changes. A build for tests may have them in less time, as by stage=0.05 in a twentieth; figures are compared
+// over two windows at least, all the same.
 func stageRules() stage.Rules {
 	if failpoint.Enabled {
 		if by, err := parseFactor(failpoint.Value("stage")); err == nil {
--- a/internal/member/rig_test.go
+++ b/internal/member/rig_test.go
@@ -25,6 +25,9 @@
 const serveBy = "PEWTERWHEEL_TEST_MEMBER_FILE"
 
 func TestMain(m *testing.M) {
+	if len(os.Args) > 1 && os.Args[1] == GuardWord {
+		os.Exit(Guard(os.Args[2:]))
+	}
 	if path := os.Getenv(serveBy); path != "" {
 		sidecar.Join = Join
 		if err := sidecar.Serve(sidecar.Options{Path: path, Member: os.Getenv(sidecar.MemberVariable)}, os.Stderr); err != nil {
--- a/internal/service/config.go
+++ b/internal/service/config.go
@@ -40,6 +40,8 @@
 	Watch       bool          `json:"-"`
 	Application string        `json:"-"`
 	Clock       func() int64  `json:"-"` // of Clock's; nil: one of the service's own
+	// Beside: a successor may listen on the second address, too, and has the new connections from then on.
+	Beside bool `json:"-"`
 }
 
 // ReadConfig reads the configuration. Unknown fields are passed over: newer platforms tell more.
--- a/internal/service/listen.go
+++ b/internal/service/listen.go
@@ -19,11 +19,11 @@
 
 // listener makes what listens. On the address for callers a second process may listen beside this one, to take over
 // from it, and new connections go to that alone from then on. Guards against connections that wait to be taken in by
-// a process that is ending: they would be reset. The second address is each process's own; how the system writes it
-// is left in told. What listens for callers is handed to callers.
-func listener(control string, told *string, callers func(*net.TCPListener) net.Listener) func(network, address string) (net.Listener, error) {
+// a process that is ending: they would be reset. The second address is each process's own, but for members of a fleet, whose
+// successors take it over in the same way (beside); how the system writes it is left in told. What listens for callers is handed to callers.
+func listener(control string, beside bool, told *string, callers func(*net.TCPListener) net.Listener) func(network, address string) (net.Listener, error) {
 	return func(network, address string) (net.Listener, error) {
-		if address == control {
+		if address == control && !beside {
 			l, err := net.Listen(network, address)
 			if err == nil {
 				*told = l.Addr().String()
@@ -50,6 +50,10 @@
 			_ = l.Close() // nothing was taken in
 			return nil, fmt.Errorf("listen beside another process: %w", err)
 		}
+		if address == control {
+			*told = l.Addr().String()
+			return l, nil
+		}
 		return callers(l.(*net.TCPListener)), nil
 	}
 }
--- a/internal/service/listen_test.go
+++ b/internal/service/listen_test.go
@@ -23,7 +23,7 @@
 // are reset because the process that they wait for ends.
 func TestListenBesideAnother(t *testing.T) {
 	var told string
-	listen := listener("", &told, func(l *net.TCPListener) net.Listener { return l })
+	listen := listener("", false, &told, func(l *net.TCPListener) net.Listener { return l })
 	var listeners []*net.TCPListener
 	address := "127.0.0.1:0"
 	for range 2 {
@@ -49,7 +49,7 @@
 func TestLeaveTakesInWhoWaits(t *testing.T) {
 	left := make(chan bool, 1)
 	var told string
-	listen := listener("", &told, func(l *net.TCPListener) net.Listener {
+	listen := listener("", false, &told, func(l *net.TCPListener) net.Listener {
 		return &leaving{TCPListener: l, left: func() { left <- true }}
 	})
 	l, err := listen("tcp4", "127.0.0.1:0")
@@ -108,7 +108,7 @@
 func TestLeaveBetweenOthers(t *testing.T) {
 	left := make(chan bool, 3)
 	var told string
-	listen := listener("", &told, func(l *net.TCPListener) net.Listener {
+	listen := listener("", false, &told, func(l *net.TCPListener) net.Listener {
 		return &leaving{TCPListener: l, left: func() { left <- true }}
 	})
 	address := "127.0.0.1:0"
--- a/internal/service/network.go
+++ b/internal/service/network.go
@@ -46,7 +46,7 @@
 	if cfg.Control != "" {
 		addresses = append(addresses, cfg.Control)
 	}
-	n.engine = nbio.NewEngine(nbio.Config{Network: "tcp4", Addrs: addresses, Listen: listener(cfg.Control, &n.control, n.listens),
+	n.engine = nbio.NewEngine(nbio.Config{Network: "tcp4", Addrs: addresses, Listen: listener(cfg.Control, cfg.Beside, &n.control, n.listens),
 		NPoller: 1, ReadBufferSize: readBuffer, MaxWriteBufferSize: unwritten})
 	// The engine calls this before it reads from the connection, so nothing is queued ahead of it.
 	n.engine.OnOpen(func(c *nbio.Conn) {
--- a/internal/stage/conductor.go
+++ b/internal/stage/conductor.go
@@ -488,7 +488,7 @@
 func (p *Part) plan(back bool) *plan {
 	c := &p.conductor
 	change := c.rec.Target.Change
-	pl := &plan{rules: p.c.Rules, change: change, program: c.rec.Target.Program != "", back: back, self: p.c.Name, stage: c.rec.Stage,
+	pl := &plan{rules: p.c.Rules, change: change, program: c.rec.Target.Program != p.concluded.Program || c.rec.Target.ProgramDigest != p.concluded.ProgramDigest, back: back, self: p.c.Name, stage: c.rec.Stage,
 		told: c.rec.Told, neighbours: p.c.Neighbours, doctor: p.c.doctor}
 	for _, n := range p.watch.names {
 		q := p.watch.peers[n]
--- a/internal/stage/part.go
+++ b/internal/stage/part.go
@@ -178,7 +178,7 @@
 			if p.wantsBack && p.running.Change == p.concluded.Change {
 				p.settle()
 			}
-		case p.target.Program != "":
+		case p.replaces(p.target):
 			p.handed = true // the successor tells the rest
 			p.counts.changes++
 		default:
@@ -196,7 +196,7 @@
 		case err != nil:
 			p.state, p.why = Changed, cut(err.Error(), maxWhy)
 			p.note(out, "does not go back", p.fence, int64(p.change), p.why)
-		case p.running.Program != p.concluded.Program:
+		case p.replaces(p.concluded):
 			p.handed = true
 			p.counts.backs++
 		default:
--- a/internal/stage/soon.go
+++ b/internal/stage/soon.go
@@ -28,3 +28,15 @@
 	}
 	return before < max(1, min(p.c.Rules.Wave, left/10))
 }
+
+// First is the part of a process's entry until its Part tells one: what it goes by, so that a process that has just come up is
+// not taken for one that fell out of the change.
+func First(running, concluded Target) []byte {
+	p := newPart(Config{Running: running, Concluded: concluded})
+	return encode(told{Change: p.change, State: p.state, Goes: p.running.Change})
+}
+
+// replaces tells whether going by a target takes a successor here.
+func (p *Part) replaces(t Target) bool {
+	return t.Program != p.running.Program || t.ProgramDigest != p.running.ProgramDigest
+}
