Take each safeguard of a staged change out in turn, and weigh slots in which the old ones differ less

Slots in which old processes are further apart than usual weigh less now, for both sides, and the rule at the bound asks for the whole margin, which lies midway between no harm and what must be halted. Nine safeguards are taken out in turn, each seen missed for its own reason.

--- a/internal/fleetsim/stages/play.go
+++ b/internal/fleetsim/stages/play.go
@@ -142,18 +142,13 @@
 			res.Most = max(res.Most, w.OnIt())
 			number++
 			v := &fleet.View{Number: number, Members: make([]fleet.Member, 0, n)}
-			busy := 0
 			for _, p := range w.procs {
-				if p.gone {
-					busy++
-				}
 				m := fleet.Member{Entry: p.entry, Suspect: p.cut}
 				if p.gone {
 					m.State = fleet.Draining
 				}
 				v.Members = append(v.Members, m)
 			}
-			res.Worst = max(res.Worst, busy)
 			for i := range n {
 				reads := b.holder == name(i) || seed%5 == 0 && slices.Contains(b.claims, name(i))
 				if seen[i] && !reads && (int(w.now/window)+i)%100 != 0 {
@@ -163,6 +158,13 @@
 				run(i, func(out *fleet.Out) { parts[i].View(w.now, v, out) })
 			}
 		}
+		busy := 0
+		for _, p := range w.procs {
+			if p.gone {
+				busy++
+			}
+		}
+		res.Worst = max(res.Worst, busy)
 		for _, m := range take(&mail) {
 			to := at(m.To)
 			if from := at(m.From); w.procs[to].cut || w.procs[from].cut || w.procs[to].gone {
--- a/internal/stage/evidence.go
+++ b/internal/stage/evidence.go
@@ -26,6 +26,9 @@
 var measureNames = [measures]string{"worth lost", "refused", "failed", "late", "slow answers", "processor time a call", "memory",
 	"growth of memory"}
 
+// maxSlots bounds the slots whose spread is kept, to know what is usual.
+const maxSlots = 1024
+
 // maxClasses bounds the classes told apart; further ones count as the last.
 const maxClasses = 16
 
@@ -80,6 +83,7 @@
 	broken uint64 // what its counters that must stay 0 showed before it was new
 	cells  []cell // of the slot, by class
 	// Excess over what the old ones showed in the same slots, zones and classes, before the change and in the stage.
+	excess        [growth]pair // of the slot
 	before, after [growth]pair
 	memory        line
 	slots         int  // of the stage in which it showed anything
@@ -109,6 +113,7 @@
 	oldSum   [measures]pair
 	newSum   [measures]pair
 	tailSum  pair
+	apart    [growth][]float64        // how far apart the old ones were, by slot, sorted
 	steady   [maxClasses][growth]pair // for the doctor that does not pair: old figures before the change
 	broke    string                   // the first new process whose counters show a broken rule
 	doctor   doctor
@@ -284,6 +289,7 @@
 	for _, n := range e.names {
 		s := e.subjects[n]
 		showed := false
+		s.excess = [growth]pair{}
 		for c := range s.cells {
 			for m := range growth {
 				x := s.cells[c].m[m]
@@ -301,15 +307,12 @@
 					continue
 				}
 				showed = true
-				excess := pair{x.num - x.den*mu.share(), x.den}
-				switch {
-				case !e.told && s.side == former:
-					s.before[m].add(excess)
-				case judging && !s.out && (s.side == former || now >= s.warm):
-					s.after[m].add(excess)
-					if s.side == former {
+				s.excess[m].add(pair{x.num - x.den*mu.share(), x.den})
+				if judging && !s.out {
+					switch {
+					case s.side == former:
 						e.oldSum[m].add(x)
-					} else {
+					case s.side == newer && now >= s.warm:
 						e.newSum[m].add(x)
 					}
 					if m == slow {
@@ -334,6 +337,43 @@
 		}
 		s.cells, s.length, s.offered, s.served, s.used = s.cells[:0], 0, 0, 0, 0
 	}
+	e.keep(now, judging)
+}
+
+// keep adds the slot to what is known of each process. A slot in which the old ones were more apart than they mostly are, as in a
+// jump that some of them cannot serve, weighs the less: else it alone would make the sum, for both sides. The weight hangs on
+// the old ones alone, and is the same for all.
+func (e *evidence) keep(now int64, judging bool) {
+	var xs []float64
+	for m := range growth {
+		xs = xs[:0]
+		for _, n := range e.names {
+			if s := e.subjects[n]; s.side == former && s.excess[m].den > 0 {
+				xs = append(xs, s.excess[m].share())
+			}
+		}
+		if len(xs) == 0 {
+			continue
+		}
+		weight := 1.0
+		if v := stat.Variance(xs, nil); len(xs) > 2 && v > 0 {
+			at, _ := slices.BinarySearch(e.apart[m], v)
+			if len(e.apart[m]) < maxSlots {
+				e.apart[m] = slices.Insert(e.apart[m], at, v)
+			}
+			weight = min(1, e.apart[m][len(e.apart[m])/2]/v)
+		}
+		for _, n := range e.names {
+			s := e.subjects[n]
+			x := pair{weight * s.excess[m].num, weight * s.excess[m].den}
+			switch {
+			case !e.told && s.side == former:
+				s.before[m].add(x)
+			case judging && !s.out && (s.side == former || s.side == newer && now >= s.warm):
+				s.after[m].add(x)
+			}
+		}
+	}
 }
 
 // learnWaits finds, class by class, the edge of the histogram over which there is nearest to one answer in a hundred, and how
@@ -520,6 +560,9 @@
 				v = stat.Variance(g.olds, nil)
 			}
 		}
+		if e.doctor.noPairs {
+			mid = 0
+		}
 		w := float64(len(g.news)) / float64(nNew)
 		c.diff += w * (stat.Mean(g.news, nil) - mid)
 		c.variance += w * w * v * (1/float64(len(g.news)) + 1/n)
@@ -639,10 +682,10 @@
 		f.verdict, f.text = passes, "no measure is worse by its margin"
 	case now-e.since < most:
 		f.verdict, f.text = untold, "too little traffic to tell yet: "+f.reason()
-	case e.stage != One && f.diff > f.margin/2:
-		f.verdict, f.text = harms, "not told apart in time, and worse by over half its margin: "+f.reason()
+	case e.stage != One && f.diff > f.margin:
+		f.verdict, f.text = harms, "not told apart in time, and worse by over its margin: "+f.reason()
 	default:
-		f.verdict, f.text = passes, "not told apart in time, and worse by under half its margin: "+f.reason()
+		f.verdict, f.text = passes, "not told apart in time, and worse by under its margin: "+f.reason()
 	}
 	return f
 }
--- /dev/null
+++ b/internal/stage/guards_test.go
@@ -0,0 +1,353 @@
+package stage
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"pewterwheel/internal/advice"
+	"pewterwheel/internal/fleet"
+	"pewterwheel/internal/lease"
+)
+
+// figures are a fleet's windows, drawn anew for each test of the judgement.
+type figures struct {
+	r       *rand.Rand
+	differ  float64 // how much the processes' rates of refusal differ
+	trouble float64 // refused besides, by all, once somebody has changed
+	worse   float64 // refused besides, by the new ones
+	base    float64
+	of      []float64
+}
+
+// judged plays 60 processes, 6 of which change, and returns what the looks of 40 slots come to.
+func (f *figures) judged(d doctor, before int) finding {
+	rules := Rules{Warm: 1, Alpha: 0.02}.whole()
+	e := newEvidence(rules, change, 0, d)
+	now, number := int64(0), uint64(0)
+	f.of = make([]float64, 60)
+	for i := range f.of {
+		f.of[i] = f.base * math.Exp(f.differ*f.r.NormFloat64())
+	}
+	slot := func(changed bool) {
+		now, number = now+rules.Slot, number+1
+		for i, p := range f.of {
+			in := told{}
+			if changed {
+				p += f.trouble
+				if i%10 == 0 {
+					in, p = told{Change: change, State: Changed}, p+f.worse
+				}
+			}
+			n := 200.0
+			refused := max(0, math.Round(n*p+math.Sqrt(n*p)*f.r.NormFloat64()))
+			m := fleet.Member{Entry: fleet.Entry{Name: fmt.Sprint("c", i), Incarnation: 1, Zone: "z", State: fleet.Serving, Windows: []fleet.Window{{
+				Number: number, Length: rules.Slot, Class: []fleet.ClassFigures{{Name: "x", Offered: uint64(n), Refused: uint64(refused)}}}}}}
+			e.take(now, &m, in)
+		}
+		e.tick(now)
+	}
+	for range before {
+		slot(false)
+	}
+	e.begun(now)
+	slot(true)
+	e.begin(now+2, Twentieth)
+	now += 2
+	for range 40 {
+		slot(true)
+		if v := e.look(now); v.verdict != untold {
+			return v
+		}
+	}
+	return finding{verdict: untold}
+}
+
+// halts counts the changes of 100 that are halted.
+func halts(f figures, d doctor, before int) int {
+	n := 0
+	for seed := range uint64(100) {
+		f.r = rand.New(rand.NewPCG(seed, 7))
+		if f.judged(d, before).verdict == harms {
+			n++
+		}
+	}
+	return n
+}
+
+// The judgement: what is worse is seen, what hits both sides alike is not, and processes that differ are told from a change.
+func TestJudgement(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		f           figures
+		before      int
+		d           doctor
+		least, most int // of 100 that are halted
+	}{
+		{"harmless", figures{base: 0.02, differ: 0.3}, 12, doctor{}, 0, 1},
+		{"a point of refusals", figures{base: 0.02, differ: 0.3, worse: 0.01}, 12, doctor{}, 95, 100},
+		{"a point of refusals, nothing known of before", figures{base: 0.02, differ: 0.1, worse: 0.01}, 0, doctor{}, 95, 100},
+		{"trouble of all", figures{base: 0.02, differ: 0.3, trouble: 0.1}, 12, doctor{}, 0, 1},
+		{"processes that differ much", figures{base: 0.02, differ: 0.8}, 0, doctor{}, 0, 2},
+		{"no pairs: trouble of all is taken for harm", figures{base: 0.02, differ: 0.3, trouble: 0.1}, 12, doctor{noPairs: true}, 75, 100},
+		{"no clusters: differences are taken for harm", figures{base: 0.02, differ: 0.8}, 0, doctor{noCluster: true}, 15, 100},
+	} {
+		if n := halts(c.f, c.d, c.before); n < c.least || n > c.most {
+			t.Errorf("%s: %d of 100 halted, want %d to %d", c.name, n, c.least, c.most)
+		} else {
+			t.Logf("%s: %d of 100 halted", c.name, n)
+		}
+	}
+}
+
+// Looked at every step of a path without a drift, the odds reach 1/alpha in alpha of the cases at the most, whatever part of the
+// variance stays; a test for one look does so far more often.
+func TestSequentialBound(t *testing.T) {
+	const alpha, paths, steps = 0.05, 2000, 300
+	for _, stays := range []float64{0, 0.02} {
+		for _, d := range []doctor{{}, {peeks: true}} {
+			r := rand.New(rand.NewPCG(9, 9))
+			halted := 0
+			for range paths {
+				x, drift := 0.0, math.Sqrt(stays)*r.NormFloat64()
+				for i := 1.0; i <= steps; i++ {
+					x += r.NormFloat64() + drift
+					c := comparison{diff: x / i, variance: 1/i + stays, freedom: 1e6, margin: 0.5}
+					if c.judge(alpha, 1e-12, d) == harms {
+						halted++
+						break
+					}
+				}
+			}
+			share := float64(halted) / paths
+			if d.peeks != (share > 0.1) || !d.peeks && share > 1.25*alpha {
+				t.Errorf("part that stays %v, %+v: %.3f halted", stays, d, share)
+			}
+		}
+	}
+}
+
+// checkPlan holds a wave against what must never be told at one moment.
+func checkPlan(p *plan) error {
+	wave, _ := p.next()
+	if len(wave) == 0 {
+		return nil
+	}
+	left, need, in := 0.0, 0.0, 0
+	told := map[string]bool{}
+	for _, n := range wave {
+		told[n] = true
+	}
+	zone := ""
+	for _, x := range p.places {
+		if x.here {
+			need += x.offered
+			if !x.busy && !told[x.name] {
+				left += x.shown
+			}
+		}
+		if told[x.name] {
+			if !x.here || x.busy || x.in != p.back {
+				return fmt.Errorf("%s can not be told", x.name)
+			}
+			if zone != "" && zone != x.zone {
+				return errors.New("two zones at once")
+			}
+			zone = x.zone
+		}
+		if x.in && x.here && !p.back {
+			in++
+		}
+		for _, y := range p.places {
+			if told[x.name] && (told[y.name] || y.busy) && y.name != x.name && p.neighbours(x.name, y.name) {
+				return errors.New("neighbours at once")
+			}
+		}
+	}
+	if p.program && left < p.room()*need-1e-6 {
+		return errors.New("under the capacity that is needed")
+	}
+	if size := Size(p.stage, len(p.places)); !p.back && p.stage != All && in+len(wave) > size+size/2+1 {
+		return fmt.Errorf("%d in a stage of %d", in+len(wave), size)
+	}
+	return nil
+}
+
+func drawPlan(t *rapid.T, d doctor) *plan {
+	p := &plan{rules: Rules{Away: 1}.whole(), change: 5, program: true, back: rapid.Bool().Draw(t, "back"), stage: rapid.IntRange(One, All).Draw(t, "stage"),
+		neighbours: func(a, b string) bool { return a[:2] == b[:2] }, doctor: d}
+	n := rapid.IntRange(1, 40).Draw(t, "processes")
+	load := rapid.Float64Range(0.2, 1).Draw(t, "load")
+	for i := range n {
+		s := rapid.IntRange(0, 9).Draw(t, "state")
+		x := place{name: fmt.Sprintf("%c%c%d", 'a'+i/8, 'a'+i%8/2, i%2), zone: string(rune('x' + i%3)), here: s > 0, in: s > 6, busy: s == 9, shown: 10}
+		x.offered = 10 * load
+		if x.in {
+			p.told++
+		}
+		p.places = append(p.places, x)
+	}
+	return p
+}
+
+func TestPlan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if err := checkPlan(drawPlan(t, doctor{})); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// crash plays a change in which the one process that is new dies, and returns what the conductor notes then.
+func crash(t *testing.T, d doctor) string {
+	w := openedWorld(t, 4, d, func(w *world) { w.lossy = true })
+	said := ""
+	for range 200 {
+		names, do := w.steps()
+		for k, f := range do {
+			if strings.HasPrefix(names[k], "double") {
+				continue
+			}
+			w.now += second
+			if err := f(w); err != nil {
+				t.Fatal(err)
+			}
+			break
+		}
+		// One round of everything, in order.
+		for _, n := range []string{"store", "view", "deliver", "done", "tick"} {
+			names, do := w.steps()
+			for k := range names {
+				if strings.Contains(names[k], n) {
+					w.now += second
+					if err := do[k](w); err != nil {
+						t.Fatal(err)
+					}
+					break
+				}
+			}
+		}
+		for i, p := range w.parts {
+			if p.state == Changed && w.died == 0 && w.parts[0].watch.peers[w.entries[i].Name].told.State == Changed {
+				w.died++
+				if err := w.life(i, 0); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		if r, _ := readRecord(w.lease.value); r.Reason != "" || over(r.Phase) {
+			said = phaseNames[r.Phase] + ": " + r.Reason
+			break
+		}
+	}
+	return said
+}
+
+// Each safeguard is taken out in turn, and missed for its own reason.
+func TestSafeguards(t *testing.T) {
+	find := func(n int, d doctor, set func(w *world)) error {
+		_, _, _, err := search(openedWorld(t, n, d, set), 20000)
+		return err
+	}
+	plans := func(d doctor) error {
+		var found error
+		for seed := range 300 {
+			p := rapid.Custom(func(t *rapid.T) *plan { return drawPlan(t, d) }).Example(seed)
+			if err := checkPlan(p); err != nil {
+				found = errors.Join(found, err)
+			}
+		}
+		return found
+	}
+	for _, c := range []struct {
+		name string
+		err  error
+		want string
+	}{
+		{"record not written first", find(3, doctor{tellsFirst: true}, func(w *world) {}), "told before it was written down"},
+		{"fence not looked at", find(3, doctor{noFence: true}, func(w *world) { w.lossy, w.doubles, w.moves, w.worse = true, 1, 1, One }), "obeys a lower number"},
+		{"stages out of order", find(3, doctor{anyOrder: true}, func(w *world) {}), "a stage is skipped"},
+		{"neighbours", plans(doctor{noNeighbours: true}), "neighbours at once"},
+		{"capacity", plans(doctor{noRoom: true}), "under the capacity"},
+	} {
+		if c.err == nil || !strings.Contains(c.err.Error(), c.want) {
+			t.Errorf("%s: %v, want %q", c.name, c.err, c.want)
+		}
+	}
+	if got := crash(t, doctor{}); !strings.Contains(got, "died in the change") {
+		t.Errorf("a new process died: %q", got)
+	}
+	if got := crash(t, doctor{noCrash: true}); got != "concluded: " {
+		t.Errorf("a new process died, and nobody counts: %q", got)
+	}
+}
+
+// What is refused, and what an operator reads of it.
+func TestRefusals(t *testing.T) {
+	w := openedWorld(t, 3, doctor{}, func(w *world) {})
+	var out fleet.Out
+	p := w.parts[0]
+	for _, c := range []struct {
+		t    Target
+		want error
+	}{
+		{Target{Change: 8, Settings: "x"}, &RunningError{Change: 8, Running: change, Conductor: "a"}},
+		{Target{Settings: "x"}, &TargetError{Why: "has no number"}},
+		{Target{Change: 8}, &TargetError{Change: 8, Why: "names neither settings nor a program"}},
+		{Target{Change: 8, Settings: strings.Repeat("x", MaxPath+1)}, &TargetError{Change: 8, Why: "path too long"}},
+	} {
+		if err := p.Propose(w.now, c.t, &out); err == nil || err.Error() != c.want.Error() {
+			t.Errorf("%v: %v, want %v", c.t, err, c.want)
+		}
+	}
+	q := New(Config{Name: "q", Lease: of{&fake{}, "q"}})
+	q.watch.over = 9
+	var over *NumberError
+	if err := q.Propose(0, Target{Change: 9, Settings: "x"}, &out); !errors.As(err, &over) || over.Over != 9 {
+		t.Errorf("a change that is over: %v", err)
+	}
+	// An order by a lower number is answered with the one that was seen, and not obeyed.
+	q.viewed, q.fence = true, 5
+	out = fleet.Out{}
+	q.Message(0, fleet.Message{From: "z", Body: encode(speech{Order: true, Change: 10, Fence: 4, Write: 9, Verb: Apply, Target: Target{Change: 10}})}, &out)
+	var answer speech
+	if len(out.Acts) != 0 || len(out.Send) != 1 || decode(out.Send[0].Body, &answer) != nil || answer.Fence != 5 || q.state != Unchanged {
+		t.Errorf("order by a lower number: %+v", out)
+	}
+	for _, e := range Errors {
+		if e.Advice() == "" || advice.Of(fmt.Errorf("so: %w", e)) != e.Advice() {
+			t.Errorf("%T has no advice", e)
+		}
+	}
+}
+
+// The largest record and the largest of each message fit, and garbage of any kind changes nothing.
+func TestSizesAndGarbage(t *testing.T) {
+	long := strings.Repeat("ä", 500)
+	r := record{Target: Target{math.MaxUint64, long[:MaxPath], math.MaxUint64, long[:MaxPath], math.MaxUint64}, Phase: halted, Stage: All, Told: 1 << 30,
+		Fence: math.MaxUint64, Reason: long, Over: math.MaxUint64}
+	for range MaxWave {
+		r.Wave = append(r.Wave, math.MaxUint32)
+	}
+	if n := len(r.encode()); n > lease.MaxRecord {
+		t.Errorf("a record of %d bytes", n)
+	}
+	if back, err := readRecord(r.encode()); err != nil || back.Target != r.Target || len(back.Wave) != MaxWave {
+		t.Errorf("read back: %+v, %v", back, err)
+	}
+	w := openedWorld(t, 3, doctor{}, func(w *world) {})
+	rapid.Check(t, func(t *rapid.T) {
+		b := rapid.SliceOfN(rapid.Byte(), 0, 200).Draw(t, "bytes")
+		before := w.print()
+		w.parts[1].Message(0, fleet.Message{From: "a", Body: b}, &fleet.Out{})
+		if w.print() != before && decode(b, &speech{}) != nil {
+			t.Errorf("%x changed something", b)
+		}
+		_, _ = readRecord(b)
+	})
+}
