--- a/internal/stage/conductor.go
+++ b/internal/stage/conductor.go
@@ -683,6 +683,12 @@
 func (p *Part) end(now int64, out *fleet.Out) {
 	c := &p.conductor
 	change := c.rec.Target.Change
+	if r := p.watch.runs(); r > change && p.viewed {
+		// Its record is gone with the electors that had it. What it had come to nobody knows: those in it go back.
+		c.reason = "the record of the change was lost"
+		p.store(now, record{Target: Target{Change: r}, Phase: goingBack, Reason: c.reason, Over: c.rec.last()}, stopped, out)
+		return
+	}
 	if c.rec.Phase == none {
 		p.release(now, out)
 		return
