Let a halted change end where there is never room, and wait for figures before capacity is judged

A process that took over conducting had seen no window yet and took nothing for needed; and where the traffic leaves no room, those that changed could not go back. The first waits for a slot now, the second goes one at a time after a minute. Tests of the plan hold both.

--- a/internal/fleetsim/stages/play.go
+++ b/internal/fleetsim/stages/play.go
@@ -133,7 +133,7 @@
 			run(proposer, func(out *fleet.Out) { _ = parts[proposer].Propose(w.now, target, out) })
 		}
 		if w.now >= cutAt && b.holder != "" {
-			b.claims = slices.DeleteFunc(b.claims, func(n string) bool { return n == b.holder })
+			b.claims = append(slices.DeleteFunc(b.claims, func(n string) bool { return n == b.holder }), b.holder)
 			b.holder, cutAt = "", math.MaxInt64
 			b.settle()
 		}
--- a/internal/stage/conductor.go
+++ b/internal/stage/conductor.go
@@ -40,7 +40,8 @@
 	found    finding
 	waits    string // what it waits for
 	waitNote int64
-	ended    bool // has told that the change is over
+	stuck    int64 // since when nobody could go back; 0: somebody does
+	ended    bool  // has told that the change is over
 	evidence *evidence
 }
 
@@ -188,6 +189,7 @@
 	}
 	c.holds, c.grant, c.rec, c.since, c.writing = true, g, rec, now, false
 	c.filledAt, c.lookAt, c.said, c.waits, c.found, c.ended = 0, 0, 0, "", finding{}, false
+	c.stuck = 0
 	c.setWave(now, nil)
 	for _, n := range p.watch.names {
 		if slices.Contains(rec.Wave, mark(n)) {
@@ -480,6 +482,10 @@
 		return
 	}
 	pl := p.plan(false)
+	if pl.program && e.closed == 0 && p.c.oracle == nil {
+		p.wait(now, "no figures yet of what is offered", out)
+		return
+	}
 	wave, why := pl.next()
 	switch {
 	case why == filled, why == onlySelf && rec.Stage != All:
@@ -640,7 +646,16 @@
 		p.follow(now, Back, out)
 		return
 	}
-	wave, why := p.plan(true).next()
+	pl := p.plan(true)
+	if c.stuck == 0 {
+		c.stuck = now
+	}
+	// A halted change ends, also where there is never room: then one at a time, and the next when it serves again.
+	pl.last = now-c.stuck >= p.c.Rules.Patience
+	wave, why := pl.next()
+	if len(wave) > 0 {
+		c.stuck = 0
+	}
 	switch {
 	case why == onlySelf:
 		p.stepAside(now, out)
--- a/internal/stage/evidence.go
+++ b/internal/stage/evidence.go
@@ -109,6 +109,7 @@
 	told     bool                    // somebody has been told: what comes is no longer of before
 	stage    int                     // that is judged; -1: none
 	since    int64
+	closed   int // slots, in all
 	slots    int
 	oldSum   [measures]pair
 	newSum   [measures]pair
@@ -337,6 +338,7 @@
 		}
 		s.cells, s.length, s.offered, s.served, s.used = s.cells[:0], 0, 0, 0, 0
 	}
+	e.closed++
 	e.keep(now, judging)
 }
 
--- a/internal/stage/plan.go
+++ b/internal/stage/plan.go
@@ -64,6 +64,7 @@
 	change     uint64
 	program    bool // the program changes: a process serves nothing while it does. A reload of settings costs none of it.
 	back       bool // processes are taken out of the change
+	last       bool // has waited long for room: one at a time goes back whatever is offered
 	self       string
 	stage      int
 	told       int // told so far, over all stages
@@ -148,6 +149,8 @@
 	// a process does, and with no bound the stage would grow by every cut.
 	may := min(p.rules.Wave, max(size-p.told+min(lost, size/2+1), (size+1)/2-in))
 	switch {
+	case p.back && p.last:
+		may = 1
 	case p.back:
 		may = max(1, p.rules.Wave/2)
 	case p.stage == All:
@@ -187,7 +190,7 @@
 				continue
 			}
 			// Guards against a take-over that leaves less than the traffic needs.
-			if p.program && !p.doctor.noRoom {
+			if p.program && !p.doctor.noRoom && !(p.back && p.last && busy == 0) {
 				if have-x.shown < p.room()*need {
 					why = "waits: the processes left would not serve what is offered"
 					continue
