Start a successor with no connections of its predecessor's, and stand by without them

Seen: a caller of a process that had handed over never came to the successor. The engine's descriptors are copies without close-on-exec, so the successor and the guard held the caller's connection open, and its end was never sent. A program file is started through a step that closes all other descriptors, and the guard marks them before it takes the process's place.

--- a/cmd/pewterwheel-member/main.go
+++ b/cmd/pewterwheel-member/main.go
@@ -12,8 +12,8 @@
 )
 
 func main() {
-	if len(os.Args) > 1 && os.Args[1] == member.GuardWord {
-		os.Exit(member.Guard(os.Args[2:]))
+	if code, ok := member.Special(os.Args[1:]); ok {
+		os.Exit(code)
 	}
 	sidecar.Join = member.Join
 	cli.Main()
--- a/cmd/pewterwheel/members.go
+++ b/cmd/pewterwheel/members.go
@@ -12,7 +12,7 @@
 // A build for tests is one file that can do all.
 func init() {
 	sidecar.Join = member.Join
-	if len(os.Args) > 1 && os.Args[1] == member.GuardWord {
-		os.Exit(member.Guard(os.Args[2:]))
+	if code, ok := member.Special(os.Args[1:]); ok {
+		os.Exit(code)
 	}
 }
--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -108,7 +108,7 @@
 	}},
 	{Kind: "change", Owner: OfSite, Absent: true, Doc: "a change that is brought out in stages, from SIGHUP to any member on", Settings: []Setting{
 		{Key: "number", Type: Count, Min: 1, Max: 1e9, Reload: true, Doc: "the change's number; each has a higher one"},
-		{Key: "settings", Type: Path, Reload: true, Doc: "the new written file; {member} and {application} stand for their names"},
+		{Key: "settings", Type: Path, Optional: true, Reload: true, Doc: "the new written file; {member} and {application} stand for their names"},
 		{Key: "program", Type: Path, Optional: true, Reload: true, Doc: "the new program's file"},
 	}},
 	{Kind: "keepers", Owner: OfSite, Absent: true, Doc: "keepers of called numbers that run out of lines", Settings: []Setting{
--- a/internal/member/guard.go
+++ b/internal/member/guard.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"math"
 	"os"
 	"os/exec"
 	"os/signal"
@@ -25,6 +26,36 @@
 // GuardWord is the command that a process becomes which has handed over: guard CONCLUDED INSTALLED WORDS...
 const GuardWord = "guard"
 
+// startWord is the command as which a program file is started: start FILES PROGRAM WORDS... Connections that the engine holds are
+// not closed where one program starts another. Guards against callers and offices that wait on connections nobody serves.
+const startWord = "start-program"
+
+// Special carries out the commands that only processes give to each other; false: it is none of them.
+func Special(args []string) (code int, ok bool) {
+	switch {
+	case len(args) > 0 && args[0] == GuardWord:
+		return Guard(args[1:]), true
+	case len(args) > 2 && args[0] == startWord:
+		keep, err := strconv.Atoi(args[1])
+		if err == nil {
+			err = unix.CloseRange(uint(keep), math.MaxInt32, 0)
+		}
+		if err == nil {
+			err = syscall.Exec(args[2], args[2:], os.Environ())
+		}
+		fmt.Fprintln(os.Stderr, "pewterwheel:", args[2]+":", err)
+		return 1, true
+	}
+	return 0, false
+}
+
+// command starts a program file with this process's words, with its descriptors below keep and no others.
+func command(path string, keep int, words []string) *exec.Cmd {
+	cmd := exec.Command("/proc/self/exe", append([]string{startWord, strconv.Itoa(keep), path}, words...)...)
+	cmd.Stdout, cmd.Stderr = os.Stdout, os.Stderr
+	return cmd
+}
+
 // stand makes this process the guard of its successor, if it has one and nobody else is. It does not return then.
 func (t *together) stand() {
 	t.mu.Lock()
@@ -36,6 +67,7 @@
 	// A signal that comes while the program changes would end it; until the guard listens it is lost, and comes again or a kill does.
 	signal.Ignore(syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
 	args := append([]string{os.Args[0], GuardWord, t.file, t.heir.Installed}, os.Args[1:]...)
+	_ = unix.CloseRange(3, math.MaxInt32, unix.CLOSE_RANGE_CLOEXEC) // where the system has no such call they stay open
 	// The file that this process runs may have been replaced where it lay.
 	if err := syscall.Exec("/proc/self/exe", args, os.Environ()); err != nil {
 		t.log.Error("this process ends, and its successor has no guard", "process", successor, "error", err)
@@ -46,7 +78,7 @@
 // It returns the exit code.
 func Guard(args []string) int {
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
-	if len(args) < 3 {
+	if len(args) < 2 {
 		log.Error("a guard is made by a process that hands over, and not by hand")
 		return 2
 	}
@@ -164,9 +196,8 @@
 	if err != nil {
 		return program, &SuccessorError{program, err}
 	}
-	cmd := exec.Command(program, words...)
+	cmd := command(program, 3, words)
 	cmd.Env = append(os.Environ(), successionVariable+"="+string(heir))
-	cmd.Stdout, cmd.Stderr = os.Stdout, os.Stderr
 	if err := cmd.Start(); err != nil {
 		return program, &SuccessorError{program, err}
 	}
--- a/internal/member/successor.go
+++ b/internal/member/successor.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"os"
-	"os/exec"
 	"syscall"
 	"time"
 
@@ -116,9 +115,8 @@
 		return &SuccessorError{path, err}
 	}
 	defer func() { _ = hears.Close() }()
-	cmd := exec.Command(path, os.Args[1:]...)
-	cmd.Env = append(os.Environ(), successionVariable+"="+string(heir))
-	cmd.Stdout, cmd.Stderr, cmd.ExtraFiles = os.Stdout, os.Stderr, []*os.File{tells}
+	cmd := command(path, readyFile+1, os.Args[1:])
+	cmd.Env, cmd.ExtraFiles = append(os.Environ(), successionVariable+"="+string(heir)), []*os.File{tells}
 	err = cmd.Start()
 	_ = tells.Close() // the successor has its own
 	if err != nil {
