--- /dev/null
+++ b/internal/member/fail_on.go
@@ -0,0 +1,34 @@
+//go:build failpoints
+
+package member
+
+import (
+	"os"
+	"syscall"
+	"time"
+
+	"pewterwheel/internal/agent"
+	"pewterwheel/internal/failpoint"
+	"pewterwheel/internal/fleet"
+	"pewterwheel/internal/lease"
+)
+
+// failParts are parts that only tests have: one that notes who is seen, and one that claims and acts, if it is told to.
+// With the failpoint die=DURATION the process dies so long after its parts were made.
+func (t *together) failParts() []fleet.Part {
+	if d, err := time.ParseDuration(failpoint.Value("die")); err == nil {
+		time.AfterFunc(d, func() { _ = syscall.Kill(os.Getpid(), syscall.SIGKILL) })
+	}
+	return append([]fleet.Part{agent.NewWatcher()}, agent.NewClaimer(t.lessor)...)
+}
+
+// doctored is a lease's configuration as failpoints want it.
+func doctored(c lease.Config) lease.Config {
+	if d, err := time.ParseDuration(failpoint.Value("lease-believed")); err == nil {
+		c.Lease = d.Microseconds() // others believe in another one
+	}
+	if failpoint.On("lease-no-floor") {
+		c.Floor = 0
+	}
+	return c
+}
