--- a/internal/member/parts.go
+++ b/internal/member/parts.go
@@ -193,7 +193,7 @@
 		if by, err := parseFactor(failpoint.Value("stage")); err == nil {
 			const second, usualWindow = 1e6, 1e6 // figures come by windows of a second
 			t := func(s float64) int64 { return int64(s * second * by) }
-			return stage.Rules{Baseline: t(120), Warm: t(30), Slot: max(t(10), usualWindow), Look: max(t(60), 3*usualWindow), Most: t(600), Patience: max(t(60), 10*second)}
+			return stage.Rules{Baseline: t(120), Warm: t(30), Slot: max(t(10), 3*usualWindow), Look: max(t(60), 6*usualWindow), Most: max(t(600), 30*usualWindow), Patience: max(t(60), 10*second)}
 		}
 	}
 	return stage.Rules{}
