Where there are many members each tells of itself less often; bytes a second are held to their bound

An entry of each member a second was more than the pace of spreading lets through above some thirty members: entries would come late by chance, and windows be lost. Windows now grow with the number. What leaves one process with 2,000 of the largest entries to spread is held against the stated bound.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -277,7 +277,7 @@
 
 // next is when the agent has to wake at the latest.
 func (a *Agent) next() int64 {
-	at := a.begun + a.cfg.Length
+	at := a.begun + a.length()
 	if a.make != 0 {
 		at = min(at, a.make)
 	}
@@ -307,7 +307,7 @@
 			a.carry()
 		}
 	}
-	if a.now-a.begun >= a.cfg.Length {
+	if a.now-a.begun >= a.length() {
 		a.window()
 	}
 	if a.dirty && a.now-a.told >= soonest {
@@ -500,6 +500,9 @@
 	a.snapshot()
 }
 
+// length is that of a window: longer where there are many processes.
+func (a *Agent) length() int64 { return a.cfg.Length * a.book.Slower() }
+
 func (a *Agent) number() uint64 {
 	if n := len(a.windows); n > 0 {
 		return a.windows[n-1].Number + 1
--- a/internal/fleet/book.go
+++ b/internal/fleet/book.go
@@ -15,6 +15,9 @@
 	DefaultStale = 5_000_000
 	// DefaultAbsent: a suspected process is left out of the view after this. Nothing exclusive may hang on it.
 	DefaultAbsent = 300_000_000
+	// Crowd processes can tell of themselves once a second within what spreads from each; where there are more, all tell so many
+	// times less often, their windows are so many times longer, and it takes so many times longer until quiet is suspect.
+	Crowd = 32
 	// leftFor: one that said that it leaves is left out after this, if the membership has not reported its end before.
 	leftFor = 10_000_000
 	// MaxMembers bounds the processes of a fleet, those included that are gone and remembered. With MaxEntry it bounds the
@@ -84,6 +87,7 @@
 	ownRaw  []byte
 	records map[string]*record
 	number  uint64
+	shown   int // others in the last view
 	raised  int
 	changed bool
 	loose   bool // only for tests: an earlier life may shadow a later one
@@ -205,6 +209,10 @@
 	return oldest != ""
 }
 
+// Slower is how many times less often than each window's usual length processes tell of themselves, for their number. Whom
+// this process shows is counted, so it does not jump when many are remembered that have gone.
+func (b *Book) Slower() int64 { return 1 + int64(b.shown/Crowd) }
+
 // Up says that the membership sees a process.
 func (b *Book) Up(now int64, name string) {
 	if r := b.records[name]; r != nil && r.gone != 0 {
@@ -221,7 +229,7 @@
 
 // stateOf tells whether a process is suspected, and whether it is left out of the view.
 func (b *Book) stateOf(now int64, r *record) (suspect, left bool) {
-	stale, absent := cmp.Or(b.Stale, DefaultStale), cmp.Or(b.Absent, DefaultAbsent)
+	stale, absent := cmp.Or(b.Stale, DefaultStale)*b.Slower(), cmp.Or(b.Absent, DefaultAbsent)
 	quiet := now - r.heard
 	if r.entry.State == Leaving && (r.gone != 0 || quiet >= leftFor) {
 		return true, true
@@ -251,6 +259,7 @@
 			v.Members = append(v.Members, Member{Entry: *r.entry, Suspect: r.bad, Since: r.since})
 		}
 	}
+	b.shown = len(v.Members) - 1
 	slices.SortFunc(v.Members, func(x, y Member) int { return cmp.Compare(x.Name, y.Name) })
 	return v
 }
--- a/internal/fleet/book_test.go
+++ b/internal/fleet/book_test.go
@@ -206,3 +206,22 @@
 		t.Error("garbage was not counted")
 	}
 }
+
+// Where there are many processes each tells of itself less often, and its quiet is suspected later.
+func TestManyAreSlower(t *testing.T) {
+	b := NewBook(Entry{Name: "a", Incarnation: 1, State: Serving})
+	for i := range 10 * Crowd {
+		e := Entry{Name: fmt.Sprintf("n%d", i), Incarnation: 1, Version: 1, State: Serving}
+		take(b, e.Encode())
+	}
+	b.View(2)
+	if b.Slower() != 11 {
+		t.Errorf("%d times slower", b.Slower())
+	}
+	if v := b.View(DefaultStale + 2); v != nil {
+		t.Errorf("%+v is suspected", v.Members[1].Name)
+	}
+	if v := b.View(11*DefaultStale + 2); v == nil || !v.Members[1].Suspect {
+		t.Error("nobody is suspected, ever")
+	}
+}
--- a/internal/fleetnet/net_test.go
+++ b/internal/fleetnet/net_test.go
@@ -306,3 +306,31 @@
 		}
 	}
 }
+
+// However much there is to spread, what leaves a process is bounded by its pace.
+func TestBytesAreBounded(t *testing.T) {
+	at := []netip.AddrPort{free(t), free(t), free(t), free(t)}
+	names := map[string]netip.AddrPort{}
+	for i := range at {
+		names[fmt.Sprintf("m%d", i)] = at[i]
+	}
+	var all []*box
+	for i := range at {
+		all = append(all, open(t, Config{Cluster: "one", Self: fmt.Sprintf("m%d", i), Bind: at[i], Reach: at[i], Names: names}))
+	}
+	for _, b := range all {
+		until(t, "all four", func() bool { return b.Seen() == 3 })
+	}
+	begin, was := time.Now(), figure(all[0], "fleet_bytes_out")
+	for i := range 2000 {
+		all[0].Spread(fmt.Sprintf("n%d", i), bytes.Repeat([]byte{byte(i)}, fleet.MaxEntry))
+	}
+	time.Sleep(600 * time.Millisecond)
+	sent := figure(all[0], "fleet_bytes_out") - was
+	rounds := uint64(time.Since(begin)/(30*time.Millisecond)) + 2
+	probes := uint64(time.Since(begin)/time.Millisecond) * 200 // far more of the membership's own words than there are
+	if most := rounds*gossipNodes*datagram + probes; sent > most || sent < 10*fleet.MaxEntry {
+		t.Errorf("%d bytes were sent, at most %d may be", sent, most)
+	}
+	t.Logf("%d bytes in %s; the bound with the usual times is %d a second", sent, time.Since(begin), BytesASecond)
+}
