--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -4,7 +4,6 @@
 package meter
 
 import (
-	"math"
 	"math/bits"
 	"sync/atomic"
 
@@ -18,11 +17,11 @@
 	Avoids(id decide.ServerID) bool
 }
 
-// figures are one class's counts since the start. One goroutine writes, others read.
+// figures are one class's counts since the start. One goroutine writes, others read. What follows from others is not counted:
+// the calls served are those whose waits are, and worth goes by how many were on time and late.
 type figures struct {
-	offered, served, refused, failed, late atomic.Uint64
-	worth, whole                           atomic.Uint64 // bits of a float64
-	waits                                  [fleet.MaxBuckets]atomic.Uint64
+	offered, refused, failed, late atomic.Uint64
+	waits                          [fleet.MaxBuckets]atomic.Uint64
 }
 
 // open is a call without a final answer.
@@ -73,8 +72,6 @@
 // one adds to a count of which this goroutine is the only writer.
 func one(n *atomic.Uint64) { n.Store(n.Load() + 1) }
 
-func add(n *atomic.Uint64, x float64) { n.Store(math.Float64bits(math.Float64frombits(n.Load()) + x)) }
-
 // Step passes an event on and counts what it and the actions say.
 func (m *Meter) Step(now int64, e decide.Event, out []decide.Action) []decide.Action {
 	switch e.Kind {
@@ -86,7 +83,6 @@
 		if e.Class >= 0 && e.Class < len(m.figures) {
 			f := &m.figures[e.Class]
 			one(&f.offered)
-			add(&f.whole, m.classes[e.Class].Worth)
 			m.calls[e.Call] = open{at: now, deadline: e.Deadline, class: int32(e.Class)}
 		}
 	case decide.Begun:
@@ -150,14 +146,11 @@
 	}
 	switch how {
 	case begun:
-		wait, worth := now-c.at, class.Worth
-		one(&f.served)
+		wait := now - c.at
+		one(&f.waits[bucket(wait)]) // before late, which Read takes first: never more are late than served
 		if wait > class.Aim {
 			one(&f.late)
-			worth *= class.LateWorth
 		}
-		add(&f.worth, worth)
-		one(&f.waits[bucket(wait)])
 	case refused:
 		one(&f.refused)
 	default:
@@ -211,14 +204,11 @@
 		for _, x := range []struct {
 			now       *atomic.Uint64
 			last, out *uint64
-		}{{&f.offered, &last.Offered, &c.Offered}, {&f.served, &last.Served, &c.Served}, {&f.refused, &last.Refused, &c.Refused},
-			{&f.failed, &last.Failed, &c.Failed}, {&f.late, &last.Late, &c.Late}} {
+		}{{&f.late, &last.Late, &c.Late}, {&f.offered, &last.Offered, &c.Offered}, {&f.refused, &last.Refused, &c.Refused},
+			{&f.failed, &last.Failed, &c.Failed}} {
 			n := x.now.Load()
 			*x.out, *x.last = n-*x.last, n
 		}
-		worth, whole := math.Float64frombits(f.worth.Load()), math.Float64frombits(f.whole.Load())
-		c.Worth, c.Whole = worth-last.Worth, whole-last.Whole
-		last.Worth, last.Whole = worth, whole
 		c.Waits = make([]uint32, fleet.MaxBuckets)
 		most := 0
 		for j := range f.waits {
@@ -226,9 +216,13 @@
 			if c.Waits[j] = n - last.Waits[j]; c.Waits[j] > 0 {
 				most = j + 1
 			}
+			c.Served += uint64(c.Waits[j])
 			last.Waits[j] = n
 		}
 		c.Waits = c.Waits[:most]
+		class := &m.classes[i]
+		late := float64(c.Late)
+		c.Whole, c.Worth = float64(c.Offered)*class.Worth, max(0, float64(c.Served)-late)*class.Worth+late*class.Worth*class.LateWorth
 	}
 	return w
 }
