Leases: search over all schedules, chaos with rosters, each safeguard taken out and seen

The search for times showed that electors which had forgotten a thing at the same time could each lack a majority of the same kind, and a claim's own fence raised the floor: both are mended. Twelve safeguards taken out in turn are seen, each by the rule that it keeps.

--- a/internal/lease/claimant.go
+++ b/internal/lease/claimant.go
@@ -204,7 +204,9 @@
 	case resting:
 		p.attempt(c, out)
 	case asking, storing:
-		if p.now-c.began >= p.cfg.Lease/3 {
+		// An attempt that another claimant has some votes of ends soon. Guards against two that wait for each other's.
+		taken := slices.ContainsFunc(c.voters, func(v voter) bool { return v.reason == Taken && p.now < v.blocked })
+		if age := p.now - c.began; age >= p.cfg.Lease/3 || taken && age >= p.cfg.Lease/16 {
 			p.fail(c, out)
 			return
 		}
@@ -401,7 +403,7 @@
 		// that one later holder sees and the next one does not.
 		c.phase, c.flight, c.last = storing, c.told, c.told.write
 		if p.doctor.noRestore {
-			c.stored = c.told
+			c.stored, c.flight = c.told, record{}
 			p.grant(c, out)
 		}
 		p.ask(c, true, out)
@@ -516,6 +518,8 @@
 		slices.Sort(ends)
 		c.tries = 1
 		c.next = max(ends[n/2-(n-len(ends))], p.now) + p.jitter(p.cfg.Lease/16)
+	case low && c.tries <= 1:
+		c.next = p.now // it knows better now
 	case low && c.tries <= 2:
 		c.next = p.now + p.jitter(p.retry)
 	}
--- a/internal/lease/elector.go
+++ b/internal/lease/elector.go
@@ -3,6 +3,9 @@
 import (
 	"bytes"
 	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
 
 	"pewterwheel/internal/fleet"
 )
@@ -36,6 +39,12 @@
 	pause    int64
 	began    int64
 	peers    []peer
+	forgot   []uint64 // which lives had forgotten it at the moment from which this process counts; see forgetter
+}
+
+// forgetter names one life of a process in which it has not forgotten the thing again.
+func forgetter(name string, life, gen uint64) uint64 {
+	return xxhash.Sum64String(name + "\x00" + strconv.FormatUint(life, 36) + "\x00" + strconv.FormatUint(gen, 36))
 }
 
 // maxWaiters bounds who is told that a thing is free.
@@ -83,6 +92,7 @@
 		}
 		// Forgotten is as after a restart: it is learnt from others before the next vote, and others see by gen that it was.
 		p.heardFence(oldest.fence)
+		p.floor = max(p.floor, oldest.fence)
 		delete(p.things, oldest.name)
 		p.gen++
 		p.counts.forgotten++
@@ -114,7 +124,7 @@
 		}
 		p.send(from, r, out)
 	}
-	if b.Roster > p.roster+1 || b.Roster == p.roster+1 && p.doctor.noSeal {
+	if b.Roster > p.roster+1 {
 		refuse(nil, NewerRoster, 0)
 		return
 	}
@@ -163,7 +173,7 @@
 	t.fence, t.owner, t.ownerLife, t.over = b.Fence, from, b.Life, false
 	t.voted, t.votedLife, t.until = from, b.Life, p.now+p.cfg.Lease
 	t.waiters = slices.DeleteFunc(t.waiters, func(s string) bool { return s == from })
-	if b.Type == typHold {
+	if b.Type == typHold && (b.Write > 0 || !p.doctor.noRestore) {
 		t.store(b.Fence, b.Write, b.Value)
 	}
 	p.counts.votes++
@@ -270,7 +280,7 @@
 // learnAsked tells another elector what is known here, and by that seals it: from now on no claim under the roster before
 // gets a vote here, so that what the other learns from a majority stays all that there is.
 func (p *Part) learnAsked(from string, b body, out *fleet.Out) {
-	if b.Roster > p.roster+1 || b.Roster == p.roster+1 && p.doctor.noSeal {
+	if b.Roster > p.roster+1 {
 		return
 	}
 	p.hearRoster(b.Roster)
@@ -278,6 +288,7 @@
 	if t := p.things[b.Thing]; t != nil {
 		k.Gen, k.Fence, k.Holder, k.HolderLife, k.Over = t.gen, t.fence, t.owner, t.ownerLife, t.over
 		k.RecFence, k.Write, k.Value = t.recFence, t.write, t.value
+		k.Forgot = t.forgot
 		k.Ready, k.Young = t.ready, min(max(t.young-p.now, 0), maxSpan)
 	}
 	p.send(from, k, out)
@@ -315,9 +326,25 @@
 	if before.round > 0 && (before.round < t.round || before.steady == t.round) && before.life == b.Life && before.gen == b.Gen {
 		q.steady = t.round
 	}
+	// The other one counts from a moment at which a majority had forgotten the thing, this life among them. So may this one:
+	// until now it has voted for nothing and stored nothing. Guards against electors that each lack a majority of the same kind.
+	if target := p.target(t.name); target > 0 && t.ready < target && b.Ready >= target &&
+		slices.Contains(b.Forgot, forgetter(p.cfg.Self, p.cfg.Incarnation, t.gen)) {
+		t.forgot = b.Forgot
+		p.learntAll(t, target, q.young, out)
+		return
+	}
 	p.learntEnough(t, out)
 }
 
+// learntAll ends the learning: from now on this process votes on the thing.
+func (p *Part) learntAll(t *thing, target uint64, young int64, out *fleet.Out) {
+	t.ready, t.young = target, max(t.young, young)
+	p.counts.learnt++
+	p.unlearn(t)
+	p.free(t, out)
+}
+
 // merge takes over what is higher. A fence that two claim to own belongs to nobody: it is only a number that is used up.
 func (t *thing) merge(b body) {
 	switch {
@@ -373,19 +400,24 @@
 		}
 		return
 	}
-	done := func(young int64, floor bool) {
+	done := func(young int64, anew, floor bool) {
 		// Guards against a fence that goes back after all have forgotten: the floor is above all that were given before.
-		if floor && p.base > t.fence {
-			t.fence, t.owner, t.ownerLife, t.over = p.base, "", 0, false
+		if floor && p.floor > t.fence {
+			t.fence, t.owner, t.ownerLife, t.over = p.floor, "", 0, false
 		}
-		t.ready, t.young = target, max(t.young, young)
-		p.counts.learnt++
-		p.unlearn(t)
-		p.free(t, out)
+		if t.forgot = nil; anew {
+			t.forgot = append(t.forgot, forgetter(p.cfg.Self, p.cfg.Incarnation, t.gen))
+			for i := range t.peers {
+				if q := &t.peers[i]; q.steady == t.round && slices.Contains(electors, q.name) && len(t.forgot) < maxForgot {
+					t.forgot = append(t.forgot, forgetter(q.name, q.life, q.gen))
+				}
+			}
+		}
+		p.learntAll(t, target, young, out)
 	}
 	ready, steady, fresh, young := count(electors, target)
 	if ready >= (len(electors)-1)/2+1 && ready <= len(electors)-1 {
-		done(young, false)
+		done(young, false, false)
 		return
 	}
 	need := len(electors) / 2 // with this one, which has forgotten it, too, they are a majority
@@ -394,7 +426,7 @@
 	case steady < need:
 		again = steady+fresh >= need
 	case !transfer:
-		done(young, true)
+		done(young, true, true)
 		return
 	default:
 		before := p.oldElectors(t.name)
@@ -410,10 +442,10 @@
 		}
 		switch {
 		case had >= wants:
-			done(p.now+p.wait(), false)
+			done(p.now+p.wait(), true, false)
 			return
 		case lost >= len(before)/2+1:
-			done(p.now+p.wait(), true)
+			done(p.now+p.wait(), true, true)
 			return
 		}
 		again = lost+fresh >= len(before)/2+1
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -23,7 +23,7 @@
 	// a new roster while it runs (SetRoster) needs none: it knows the one before.
 	Previous []string
 
-	Electors int     // of a thing, at the most; 0: 5
+	Electors int     // of a thing, at the most, and 9 are the most; 0: 5
 	Lease    int64   // how long a vote lasts; 0: 3 s. Messages should come back within an eighth of it.
 	Drift    float64 // by how much the rates of two processes' monotonic clocks may differ at the most; 0: 0.01
 	// Floor is lower than every fence to come and not lower than any given before all electors were last restarted together,
@@ -39,9 +39,19 @@
 
 // doctor takes safeguards out, one by one, for the tests that must see each of them missing.
 type doctor struct {
-	noStartWait, noRecovery, noMargin, countFromReply, oneMajority, noRosterNumber, noFence, voteOver, smallMajority, noRestore bool
-	noSeal                                                                                                                      bool
-	calm                                                                                                                        bool // no safeguard: jitter is 0, for the search
+	noStartWait    bool // votes at once after a start
+	noRecovery     bool // votes without having learnt what it forgot
+	noMargin       bool // holds for a whole lease
+	countFromReply bool // counts from the answer, not from before the question
+	oneMajority    bool // asks only the new roster's electors while it is young
+	noRosterNumber bool // votes whatever roster the claim is under
+	noSeal         bool // does not note the number of a newer roster that it hears of
+	noFence        bool // votes for a fence that is not above the highest
+	voteOver       bool // votes for another while its vote runs
+	smallMajority  bool // is content with half, rounded down
+	noRestore      bool // does not store the record anew under its own fence
+	noGate         bool // lets whoever is told to act take a lower fence; the tests' gates look at it
+	calm           bool // is no safeguard: jitter is 0, for the search
 }
 
 // Part is the leases of one process: as an elector of things and as a claimant of some. It implements fleet.Part and Lessor.
@@ -59,7 +69,8 @@
 	young      int64    // until when this process needs both majorities
 	seen       uint64   // the highest roster number heard of; claims under a lower one are refused
 	voteFrom   int64    // when a lease has passed since the start
-	base       uint64   // the highest fence heard of any thing
+	base       uint64   // the highest fence heard of any thing; claims begin above it
+	floor      uint64   // no fence up to it is voted for where all have forgotten: what was given at the start, told in entries, forgotten
 	gen        uint64   // how often a thing was forgotten
 
 	things map[string]*thing
@@ -93,6 +104,7 @@
 	if c.Electors <= 0 {
 		c.Electors = 5
 	}
+	c.Electors = min(c.Electors, maxElectors)
 	if c.Lease <= 0 {
 		c.Lease = 3_000_000
 	}
@@ -106,7 +118,7 @@
 		c.Keep = 3_600_000_000
 	}
 	c.Floor = min(c.Floor, maxNumber>>1)
-	p := &Part{cfg: c, roster: c.Roster, seen: c.Roster, base: c.Floor, things: map[string]*thing{}}
+	p := &Part{cfg: c, roster: c.Roster, seen: c.Roster, base: c.Floor, floor: c.Floor, things: map[string]*thing{}}
 	p.margin = int64(math.Ceil(float64(c.Lease) * c.Drift))
 	p.retry = max(c.Lease/64, 1)
 	p.rng.Seed(c.Seed, xxhash.Sum64String(c.Self))
@@ -308,6 +320,7 @@
 		}
 		t := readTold(raw)
 		p.heardFence(t.High)
+		p.floor = max(p.floor, min(t.High, maxNumber>>1))
 		for _, h := range t.Held {
 			if h.Fence > p.hints[h.Thing].fence {
 				p.hints[h.Thing] = hint{m.Name, h.Fence}
--- a/internal/lease/wire.go
+++ b/internal/lease/wire.go
@@ -27,6 +27,12 @@
 	typKnown   = 8 // its answer
 )
 
+// maxForgot bounds the list of lives in a message: a majority of the most electors that a thing can have.
+const maxForgot = maxElectors/2 + 1
+
+// maxElectors bounds the electors of a thing.
+const maxElectors = 9
+
 // Reason is why an elector refuses. Numbers are spoken between versions.
 type Reason uint8
 
@@ -72,6 +78,8 @@
 	Ready      uint64 `cbor:"16,keyasint,omitempty"` // the roster under which the sender may vote on the thing; 0: none
 	Gen        uint64 `cbor:"17,keyasint,omitempty"` // how often the sender has forgotten things in this life
 	High       uint64 `cbor:"18,keyasint,omitempty"` // the highest fence of the thing that the sender knows
+	// Which lives the sender, or who told it, saw to have forgotten the thing at one moment, a majority; see forgetter.
+	Forgot []uint64 `cbor:"19,keyasint,omitempty"`
 }
 
 // told is the package's part of a process's entry.
@@ -135,6 +143,10 @@
 		why = "a time out of bounds"
 	case max(b.Fence, b.High, b.RecFence, b.Write, b.Roster, b.Ready) > maxNumber:
 		why = "a number out of bounds"
+	case len(b.Forgot) > maxForgot:
+		why = "a list that is too long"
+	case len(b.Forgot) > maxForgot:
+		why = "a list that is too long"
 	case b.Write > 0 && b.RecFence == 0, b.Write == 0 && len(b.Value) > 0:
 		why = "half a record"
 	case (b.Type == typClaim || b.Type == typHold) && (b.Fence == 0 || b.Roster == 0):
--- a/internal/lease/world_test.go
+++ b/internal/lease/world_test.go
@@ -23,13 +23,16 @@
 	cut               func(from, to string) bool
 	rate              func(i int) float64
 	floor             uint64
+	rosters           [][]string // by number, from 1
 	// What was seen.
 	broken  string
 	things  []string
 	high    map[string]uint64
 	holder  map[string]string
 	done    map[string][]written // writes that have happened, in order
-	gates   map[string]*Gate
+	acts    []act                // told to somebody, on the way
+	lost    map[string]uint64    // up to which fence nothing is expected to have been kept
+	gate    Gate
 	grants  int
 	granted map[string]float64
 	carried int
@@ -40,6 +43,23 @@
 	value        string
 }
 
+type act struct {
+	thing string
+	fence uint64
+}
+
+// arrive lets somebody be told to act; n picks whom of those on the way.
+func (w *world) arrive(n int) {
+	a := w.acts[n]
+	w.acts = append(w.acts[:n], w.acts[n+1:]...)
+	before := w.gate.Highest(a.thing)
+	if err := w.gate.Admit(a.thing, a.fence); err == nil && a.fence < before {
+		w.fail("gate: %s was acted on under %d after %d", a.thing, a.fence, before)
+	} else if err != nil && a.fence >= before {
+		w.fail("gate: %v", err)
+	}
+}
+
 type proc struct {
 	name   string
 	part   *Part
@@ -47,6 +67,7 @@
 	offset float64
 	life   uint64
 	up     bool
+	frozen bool // it runs no more for a while, and then goes on as if nothing had been
 	wants  map[string]bool
 	view   map[string]uint64 // fence held at the last look
 	waits  map[string][]written
@@ -61,8 +82,9 @@
 
 func newWorld(seed uint64, names []string, cfg Config, d doctor) *world {
 	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), cfg: cfg, doctor: d, delay: 500, high: map[string]uint64{}, holder: map[string]string{},
-		done: map[string][]written{}, gates: map[string]*Gate{}, granted: map[string]float64{}, cut: func(_, _ string) bool { return false }}
+		done: map[string][]written{}, lost: map[string]uint64{}, granted: map[string]float64{}, cut: func(_, _ string) bool { return false }}
 	w.rate = func(int) float64 { return 1 + cfg.Drift*(w.rng.Float64()-0.5) }
+	w.rosters = [][]string{cfg.Names}
 	for i, name := range names {
 		w.procs = append(w.procs, &proc{name: name, rate: w.rate(i), offset: float64(w.rng.Int64N(1 << 40)), roster: 1, names: cfg.Names})
 	}
@@ -84,6 +106,9 @@
 	cfg.Roster, cfg.Names = q.roster, q.names
 	w.floor = max(w.floor, uint64(w.now/1000)) // the wall clock, in milliseconds
 	cfg.Floor = w.floor
+	if q.roster > 1 {
+		cfg.Previous = w.rosters[q.roster-2]
+	}
 	q.part = New(cfg)
 	q.part.doctor = w.doctor
 	q.up, q.wants, q.view, q.waits = true, map[string]bool{}, map[string]uint64{}, map[string][]written{}
@@ -92,10 +117,31 @@
 
 func (w *world) stop(q *proc) {
 	w.look()
-	q.up = false
-	w.look()
+	q.up, q.frozen = false, false
+	for _, thing := range w.things {
+		// What has happened may be lost with the memory of a majority, of the electors of any roster that is still about.
+		for n := max(len(w.rosters)-2, 0); n < len(w.rosters); n++ {
+			e := Electors(thing, w.rosters[n], w.cfg.Electors)
+			live := 0
+			for _, name := range e {
+				if o := w.proc(name); o.up && o.part.things[thing] != nil && o.part.things[thing].ready > 0 {
+					live++
+				}
+			}
+			if live < len(e)/2+1 {
+				w.done[thing] = nil
+				for _, o := range w.procs { // nor does count what was asked for before that
+					if o.up {
+						w.lost[thing] = max(w.lost[thing], o.part.base)
+					}
+				}
+			}
+		}
+	}
 }
 
+func (c Config) tenth() float64 { return float64(c.Lease) / 10 }
+
 // do runs something in a process, sends what it wants sent, and looks whether all rules hold.
 func (w *world) do(q *proc, f func(now int64, out *fleet.Out)) {
 	var out fleet.Out
@@ -166,13 +212,16 @@
 					w.carried++
 				}
 			}
+			// What a holder shows has happened.
+			if d := w.done[thing]; g.Write > 0 && g.Fence > w.lost[thing] && (len(d) == 0 || d[len(d)-1].write < g.Write) {
+				w.done[thing] = append(d, written{g.Fence, g.Write, string(g.Value)})
+			}
 			for len(q.waits[thing]) > 0 && q.waits[thing][0].write <= g.Write {
 				x := q.waits[thing][0]
 				q.waits[thing] = q.waits[thing][1:]
 				if x.write == g.Write && x.value != string(g.Value) {
 					w.fail("lost write: %s shows %q for write %d, which was %q", q.name, g.Value, x.write, x.value)
 				}
-				w.done[thing] = append(w.done[thing], x)
 			}
 		}
 	}
@@ -190,7 +239,7 @@
 		}
 		var tick *proc
 		for _, q := range w.procs {
-			if !q.up {
+			if !q.up || q.frozen {
 				continue
 			}
 			n := q.part.Next()
@@ -214,7 +263,9 @@
 			w.wire[next] = w.wire[len(w.wire)-1]
 			w.wire = w.wire[:len(w.wire)-1]
 			i := slices.IndexFunc(w.procs, func(q *proc) bool { return q.name == m.To })
-			if i >= 0 && w.procs[i].up {
+			if i >= 0 && w.procs[i].frozen {
+				w.wire = append(w.wire, flying{w.now + w.cfg.tenth(), m})
+			} else if i >= 0 && w.procs[i].up {
 				q := w.procs[i]
 				w.do(q, func(now int64, out *fleet.Out) { q.part.Message(now, m, out) })
 			}
