--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -5,14 +5,18 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"os"
 	"slices"
 	"strings"
+	"sync"
 	"syscall"
 
+	"github.com/cespare/xxhash/v2"
+
 	"pewterwheel/decide"
 	"pewterwheel/internal/config"
 	"pewterwheel/internal/membership"
@@ -44,6 +48,30 @@
 	first config.Sidecar // as it started
 	zones []string       // numbers of zones, in order
 	last  *config.Document
+
+	company Company // nil: this process serves alone
+
+	mu      sync.Mutex
+	applied string       // the file of a change that this process goes by; empty: its own
+	taken   chan<- error // told once what came of the next Read
+	digest  uint64       // of the file that it goes by
+}
+
+// GoBy sets the file of a change that the next Read takes the settings from; empty: the process's own. Taken is told what
+// came of it, and has room for that. It returns the one before.
+func (r *Reader) GoBy(path string, taken chan<- error) (was string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	was = r.applied
+	r.applied, r.taken = path, taken
+	return was
+}
+
+// Going tells by which settings the process goes: their digest, and the file of a change that they are from.
+func (r *Reader) Going() (digest uint64, applied string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.digest, r.applied
 }
 
 // NewReader returns a reader of a file. Level is set as the file says; it may be nil, and then stays.
@@ -51,33 +79,63 @@
 	return &Reader{path: path, read: os.ReadFile, level: level, log: slog.New(slog.DiscardHandler)}
 }
 
-// load reads and checks the file.
-func (r *Reader) load() (*config.Document, config.Sidecar, error) {
-	text, err := r.read(r.path)
+// load reads and checks a file.
+func (r *Reader) load(path string) (d *config.Document, s config.Sidecar, digest uint64, err error) {
+	text, err := r.read(path)
 	if err != nil {
-		return nil, config.Sidecar{}, &UnreadableError{fmt.Errorf("could not read the configuration: %w", err)}
+		return nil, s, 0, &UnreadableError{fmt.Errorf("could not read the configuration: %w", err)}
 	}
-	result := config.Check([]config.File{{Name: r.path, Text: text}})
+	result := config.Check([]config.File{{Name: path, Text: text}})
 	if result.Findings.Errors() > 0 {
-		return nil, config.Sidecar{}, &FindingsError{result.Findings}
+		return nil, s, 0, &FindingsError{result.Findings}
 	}
-	s, err := result.Documents[0].Sidecar()
-	return result.Documents[0], s, err
+	s, err = result.Documents[0].Sidecar()
+	return result.Documents[0], s, xxhash.Sum64(text), err
 }
 
 // Settings gives what the file says, checked, without starting anything.
 func (r *Reader) Settings() (config.Sidecar, error) {
-	_, s, err := r.load()
+	_, s, _, err := r.load(r.path)
 	return s, err
 }
 
+// With says whom the process serves with. It comes before the first Read.
+func (r *Reader) With(c Company) { r.company = c }
+
+// Path is the process's own file.
+func (r *Reader) Path() string { return r.path }
+
 // Read gives the service's configuration. On a reload it holds what can change while the program runs, and the rest as
 // it was at the start; a file that is wrong is an error, and changes nothing.
 func (r *Reader) Read() (service.Config, error) {
-	doc, s, err := r.load()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c, err := r.readAnew()
+	if r.taken != nil {
+		r.taken <- err
+		r.taken = nil
+	}
+	return c, err
+}
+
+// readAnew reads the process's own file, and that of a change if it goes by one. What concerns the fleet is in its own.
+func (r *Reader) readAnew() (service.Config, error) {
+	doc, s, digest, err := r.load(r.path)
 	if err != nil {
 		return service.Config{}, err
 	}
+	own := s
+	if r.applied != "" && r.taken == nil && r.company != nil && r.company.Released() {
+		r.applied = ""
+	}
+	if r.applied != "" {
+		if doc, s, digest, err = r.load(r.applied); err != nil {
+			return service.Config{}, err
+		}
+	}
+	if r.digest = digest; r.company != nil {
+		r.company.Loaded(own, digest)
+	}
 	if r.last == nil {
 		seed := make([]byte, 8)
 		if _, err := rand.Read(seed); err != nil {
@@ -185,7 +243,18 @@
 		if err != nil {
 			return nil, err
 		}
-		return route.New(routes, set, inner, seed)
+		routed, err := route.New(routes, set, inner, seed)
+		if err != nil || r.company == nil {
+			return routed, err
+		}
+		var names []string
+		for _, cl := range s.Classes {
+			names = append(names, cl.Name)
+		}
+		return r.company.Front(set, names, routed), nil
+	}
+	if r.company != nil {
+		r.company.Configure(&c)
 	}
 	return c
 }
@@ -196,9 +265,43 @@
 func (e *UnreadableError) Error() string { return e.Err.Error() }
 func (e *UnreadableError) Unwrap() error { return e.Err }
 
-// Serve checks a file and serves by it until SIGTERM. Format and level take the place of what the file says, unless they
-// are empty. What is logged goes to out.
-func Serve(path, format, level string, out io.Writer) error {
+// MemberVariable of the environment names the member that this process is, where no flag does.
+const MemberVariable = "PEWTERWHEEL_MEMBER"
+
+// ErrProgram is what a member's name gets from a program without what members share.
+var ErrProgram = errors.New("this program serves alone; members are served by pewterwheel-member, which lies beside it after make build")
+
+// Company is what a process has to do with the others of its fleet.
+type Company interface {
+	// Front makes what stands before the decider of this process. Classes are the names of the settings' classes.
+	Front(set decide.Settings, classes []string, inner session.Decider) session.Decider
+	// Configure sets what the service needs beside the file's own: a clock, lanes.
+	Configure(c *service.Config)
+	// Loaded tells of each file of this process's own that was read, and the digest of the settings that it goes by.
+	Loaded(own config.Sidecar, digest uint64)
+	// Released tells whether a process that goes by the file of a change may go by its own again.
+	Released() bool
+	// Forward passes signals on, and may add some.
+	Forward(<-chan os.Signal) <-chan os.Signal
+	// Run serves until Leave, which returns once all of it has ended.
+	Run()
+	Leave()
+}
+
+// Join makes the company of a process of that member's name. It is set by the program that has it, and nil in others: the
+// platform's process holds none of the libraries for it.
+var Join func(r *Reader, s config.Sidecar, member string, log *slog.Logger) (Company, error)
+
+// Options are the words of the command.
+type Options struct {
+	Path          string // of the sidecar's file
+	Format, Level string // of the log, in place of what the file says; empty: as it says
+	Member        string // which member of the fleet this process is; empty: none
+}
+
+// Serve checks a file and serves by it until SIGTERM. What is logged goes to out.
+func Serve(o Options, out io.Writer) error {
+	path, format, level := o.Path, o.Format, o.Level
 	signals := service.Signals()
 	var own slog.LevelVar
 	follow := &own
@@ -225,6 +328,23 @@
 		log = slog.New(slog.NewJSONHandler(out, options))
 	}
 	r.log = log
+	if o.Member == "" {
+		if s.Fleet != nil {
+			log.Info("serving alone: the file has a fleet, and no member is named")
+		}
+		return service.Run(r.Read, signals, log)
+	}
+	if Join == nil {
+		return ErrProgram
+	}
+	company, err := Join(r, s, o.Member, log)
+	if err != nil {
+		return err
+	}
+	r.With(company)
+	signals = r.company.Forward(signals)
+	go r.company.Run()
+	defer r.company.Leave()
 	return service.Run(r.Read, signals, log)
 }
 
