Leases: note a refusal once for each reason in a row

A claim under an older roster is refused with every attempt, more than once a second, and each refusal was a line of the log. Now a reason is noted when it is new, and again after a grant. The package's tests pass.

--- a/internal/lease/claimant.go
+++ b/internal/lease/claimant.go
@@ -32,6 +32,7 @@
 	full  int64 // when the electors were last asked all
 	pause int64 // distance of repeats
 	tries uint  // attempts in a row that came to nothing
+	noted Reason
 
 	voters []voter
 	rounds [16]round // the last questions, by seq
@@ -441,7 +442,7 @@
 	if until <= p.now {
 		return // too late: it is asked again
 	}
-	c.phase, c.until, c.tries = holding, until, 0
+	c.phase, c.until, c.tries, c.noted = holding, until, 0, 0
 	c.hint = hint{p.cfg.Self, c.fence}
 	p.counts.grants++
 	p.retell = true
@@ -470,7 +471,8 @@
 		return
 	}
 	err := &RefusedError{Thing: c.thing, Elector: v.name, Reason: b.Reason, Left: b.Left}
-	if c.tries == 0 || b.Reason != Taken {
+	if c.noted != b.Reason { // once for each reason in a row, and anew after a grant
+		c.noted = b.Reason
 		out.Notes = append(out.Notes, fleet.Note{Kind: fleet.Lease, What: "refused", Thing: c.thing, Fence: c.fence, N: int64(b.Reason),
 			Text: err.Error() + "; " + err.Advice()})
 	}
