Leases: test that a holder keeps its lease through a change of the roster

The test tells a roster with two old electors of five to processes one by one, ends the others after it, and sees the same fence before and after, and the record at the next holder.

--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -93,3 +93,46 @@
 		t.Error(w.broken)
 	}
 }
+
+// A holder keeps its lease, its fence and its record through a roster that changes most of the electors, told one by one; the old
+// ones then end, and the next holder sees the record.
+func TestHeldThroughARoster(t *testing.T) {
+	names := roster(9)
+	w := newWorld(3, names, Config{Names: names[:5], Lease: 1_000_000, Drift: 0.01}, doctor{})
+	w.things = []string{"a"}
+	for _, q := range w.procs {
+		w.start(q)
+	}
+	w.claim("p9", "a")
+	w.run(1_500_000)
+	if _, err := w.write("p9", "a", "x"); err != nil {
+		t.Fatal(err)
+	}
+	w.run(100_000)
+	before, _ := w.held("p9", "a")
+	w.rosters = append(w.rosters, names[3:8])
+	for _, q := range w.procs {
+		if err := q.part.SetRoster(q.clock(w.now), 2, names[3:8]); err != nil {
+			t.Fatal(err)
+		}
+		w.run(50_000)
+	}
+	w.run(3_000_000)
+	if g, ok := w.held("p9", "a"); !ok || g.Fence != before.Fence || string(g.Value) != "x" {
+		t.Fatalf("before %+v, after %+v %v", before, g, ok)
+	}
+	for _, name := range names[:3] {
+		w.stop(w.proc(name))
+	}
+	w.claim("p8", "a")
+	w.release("p9", "a")
+	w.run(2_000_000)
+	if g, ok := w.held("p8", "a"); !ok || g.Fence <= before.Fence || string(g.Value) != "x" || w.broken != "" {
+		t.Fatalf("the next: %+v %v %s", g, ok, w.broken)
+	}
+	for _, q := range w.procs {
+		if q.up && len(q.part.busy) > 0 {
+			t.Errorf("%s still learns", q.name)
+		}
+	}
+}
