--- a/internal/lease/claimant.go
+++ b/internal/lease/claimant.go
@@ -32,6 +32,7 @@
 	full  int64 // when the electors were last asked all
 	pause int64 // distance of repeats
 	tries uint  // attempts in a row that came to nothing
+	noted Reason
 
 	voters []voter
 	rounds [16]round // the last questions, by seq
@@ -204,7 +205,9 @@
 	case resting:
 		p.attempt(c, out)
 	case asking, storing:
-		if p.now-c.began >= p.cfg.Lease/3 {
+		// An attempt that another claimant has some votes of ends soon. Guards against two that wait for each other's.
+		taken := slices.ContainsFunc(c.voters, func(v voter) bool { return v.reason == Taken && p.now < v.blocked })
+		if age := p.now - c.began; age >= p.cfg.Lease/3 || taken && age >= p.cfg.Lease/16 {
 			p.fail(c, out)
 			return
 		}
@@ -401,7 +404,7 @@
 		// that one later holder sees and the next one does not.
 		c.phase, c.flight, c.last = storing, c.told, c.told.write
 		if p.doctor.noRestore {
-			c.stored = c.told
+			c.stored, c.flight = c.told, record{}
 			p.grant(c, out)
 		}
 		p.ask(c, true, out)
@@ -439,7 +442,7 @@
 	if until <= p.now {
 		return // too late: it is asked again
 	}
-	c.phase, c.until, c.tries = holding, until, 0
+	c.phase, c.until, c.tries, c.noted = holding, until, 0, 0
 	c.hint = hint{p.cfg.Self, c.fence}
 	p.counts.grants++
 	p.retell = true
@@ -468,7 +471,8 @@
 		return
 	}
 	err := &RefusedError{Thing: c.thing, Elector: v.name, Reason: b.Reason, Left: b.Left}
-	if c.tries == 0 || b.Reason != Taken {
+	if c.noted != b.Reason { // once for each reason in a row, and anew after a grant
+		c.noted = b.Reason
 		out.Notes = append(out.Notes, fleet.Note{Kind: fleet.Lease, What: "refused", Thing: c.thing, Fence: c.fence, N: int64(b.Reason),
 			Text: err.Error() + "; " + err.Advice()})
 	}
@@ -516,6 +520,8 @@
 		slices.Sort(ends)
 		c.tries = 1
 		c.next = max(ends[n/2-(n-len(ends))], p.now) + p.jitter(p.cfg.Lease/16)
+	case low && c.tries <= 1:
+		c.next = p.now // it knows better now
 	case low && c.tries <= 2:
 		c.next = p.now + p.jitter(p.retry)
 	}
