Keepers: a heart beat only as often as a permit ahead would be used

With a thousand hot numbers over 300 processes most messages were reports in which nothing had changed, one a second a number.

--- a/internal/keeper/choice.go
+++ b/internal/keeper/choice.go
@@ -186,6 +186,9 @@
 // with a number, as with an office of its own that answers busy.
 func (p *Part) contended(x *sight) bool {
 	need := witnesses
+	if len(x.seen) < need && !p.cfg.doctor.oneWitness {
+		return false
+	}
 	if p.cfg.doctor.oneWitness {
 		need = 1
 	}
@@ -200,7 +203,16 @@
 
 // weigh looks at every number that is told of: who keeps it, and whether this process is to.
 func (p *Part) weigh(now int64, out *fleet.Out) {
-	for _, key := range sortedKeys(p.sights) {
+	var keys []string
+	for key, x := range p.sights {
+		if len(x.seen) > 0 {
+			keys = append(keys, key)
+		} else {
+			x.mine = 0
+		}
+	}
+	slices.Sort(keys)
+	for _, key := range keys {
 		x := p.sights[key]
 		if p.books[key] != nil || p.claims[key].at != 0 {
 			continue
--- a/internal/keeper/hand.go
+++ b/internal/keeper/hand.go
@@ -10,6 +10,7 @@
 	reportGap  = 20_000    // between two reports of one number in which no order waits
 	lostGap    = 200_000   // and while its keeper does not answer
 	forgetHand = 6_000_000 // a number of which no keeper is known or heard any more is forgotten after this
+	leastAhead = 0.5       // calls within the life of a permit for which one is given ahead
 	rateOver   = 5_000_000 // over which the demand is reckoned
 )
 
@@ -205,12 +206,21 @@
 	switch {
 	case want > 0 && !h.waits && !lost, // an order waits
 		h.soon && !h.waits && now-h.asked >= p.gap(lost),
-		live && !h.waits && now-h.asked >= p.cfg.Permit/2:
+		live && !h.waits && now-h.asked >= p.beat(now, h):
 		p.report(now, h, out)
 	}
 	p.planHand(now, h)
 }
 
+// beat is how often a keeper hears of a number by which nothing changes: so often that a permit may be given ahead, if there
+// is a call for one within its life; else so often that what is held counts.
+func (p *Part) beat(now int64, h *hand) int64 {
+	if h.lately(now) && h.rate*1e-9*float64(p.cfg.Permit) >= leastAhead {
+		return p.cfg.Permit / 2
+	}
+	return p.cfg.Silent / 3
+}
+
 func (p *Part) gap(lost bool) int64 {
 	if lost {
 		return lostGap
@@ -222,7 +232,7 @@
 func (p *Part) planHand(now int64, h *hand) {
 	due := int64(math.MaxInt64)
 	if all, _ := h.holds(); all > 0 || h.lately(now) { // else it costs nothing until the loop reports something
-		due = now + p.cfg.Permit/2
+		due = max(now, h.asked+p.beat(now, h))
 	}
 	for _, b := range *h.slot.batches.Load() {
 		if b.left.Load() > 0 && !p.cfg.doctor.noExpiry {
