Keepers: seek lines by what has begun, and leave few of them idle in hands

Of 400 lines that calls of before the contention held, a keeper won back one in eight within half a minute: permits given ahead lay in hands, and while they did no step counted as found.

--- a/internal/keeper/book.go
+++ b/internal/keeper/book.go
@@ -16,6 +16,7 @@
 	moveOver   = 60_000_000 // over which the demand is reckoned that says who should keep a number
 	turnOver   = 10_000_000 // over which the turnover of lines is reckoned
 	knownFor   = 60_000_000 // lines that were seen are remembered for so long
+	idlePart   = 12         // one part in so many of the lines may be in hand unused, before more is given ahead
 	aheadMost  = 4          // permits ahead that may be saved up
 	writeGap   = 100_000    // between two writes of the record
 	writeSoon  = 5_000      // and if an answer waits for one
@@ -76,6 +77,7 @@
 	pause  int64 // until the next such time
 	sought bool  // whether the last line tried is there is not known yet
 	step   int64 // lines tried at once
+	need   int64 // calls that are to begin before these count as found
 
 	ended  float64 // lines that became free, decayed
 	counts int64   // as of when
@@ -268,6 +270,7 @@
 	if calls >= b.known || now-b.knew > knownFor {
 		b.known, b.knew = calls, now
 	}
+	b.need -= began
 	switch {
 	case busy > 0:
 		b.slow, b.sought, b.step = false, false, 1
@@ -279,11 +282,11 @@
 		b.probe = now + b.pause
 		b.dirty = true
 	case b.slow && began > 0 && 4*held > 3*b.lines:
-		b.lines += began
+		b.lines += 2 * began // each one that is found lets two more be tried
 		b.dirty = true
-	case b.sought && calls >= b.lines: // the line that was tried is there: the next one may be, too
+	case b.sought && (calls >= b.lines || b.need <= 0): // the lines that were tried are there: the next may be, too
 		b.sought, b.pause, b.probe = false, probeFirst, now+probeFirst
-		b.step = min(2*b.step, 1+b.lines/16)
+		b.step = min(2*b.step, 1+b.lines/8)
 	}
 }
 
@@ -292,9 +295,11 @@
 	if b.most > 0 && b.lines >= b.most || b.slow || now < b.probe || now-b.unmet > wantLately || b.unknown(now) > 0 {
 		return
 	}
-	if held, _ := b.held(now); held < b.lines {
+	held, calls := b.held(now)
+	if held < b.lines {
 		return
 	}
+	b.need = held - calls + 2*b.step // when so many calls have begun, some of them are on the lines that are tried
 	b.lines, b.sought = b.lines+b.step, true
 	if b.most > 0 {
 		b.lines = min(b.lines, b.most)
@@ -369,6 +374,13 @@
 		return nil
 	}
 	var best *peer
+	idle := int64(0)
+	for _, p := range b.peers {
+		idle += p.it.Idle + p.granted
+	}
+	if idle > b.lines/idlePart { // lines in hand serve nobody, and show nothing of those that are sought
+		return nil
+	}
 	for _, p := range b.peers {
 		if p.it.Idle > 0 || p.granted > 0 || now-p.at > b.cfg.Permit/2 || now-p.wanted > wantLately || p.wanted == 0 ||
 			b.room(now, p) < 1 {
--- a/internal/keeper/hand.go
+++ b/internal/keeper/hand.go
@@ -104,6 +104,7 @@
 	h.keeper, h.heard, h.waits = keeper, now, false
 	p.counts.back += uint64(h.slot.retire(func(b *batch) bool { return b.fence < fence && !p.cfg.doctor.noFence }))
 	h.slot.noneUntil.Store(0)
+	h.slot.lost.Store(false)
 	if all, _ := h.holds(); all > 0 || h.lately(now) {
 		p.report(now, h, out)
 	}
@@ -116,6 +117,9 @@
 	s.dirty.Store(false)
 	h.reckon(now)
 	want := s.held.Load()
+	if s.lost.Load() { // nothing waits for a keeper that can't be reached, but it is asked until it answers
+		want = max(want, 1)
+	}
 	h.n++
 	h.asked, h.took, h.waits, h.soon = now, 0, want > 0, false
 	s.retire(func(b *batch) bool { return now >= b.until })
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -544,6 +544,13 @@
 	c := &p.counts
 	put("keeper_numbers", uint64(len(p.hands)), true)
 	put("keeper_kept_now", uint64(len(p.books)), true)
+	lines, held := int64(0), int64(0)
+	for _, b := range p.books {
+		n, _ := b.held(p.now)
+		lines, held = lines+b.lines, held+n
+	}
+	put("keeper_lines", uint64(lines), true)
+	put("keeper_lines_held", uint64(held), true)
 	put("keeper_claims", c.claims, false)
 	put("keeper_kept", c.kept, false)
 	put("keeper_lost", c.lost, false)
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -319,11 +319,11 @@
 	for _, p := range w.Procs {
 		hot[p.Name], had[p.Name] = p.Front.Counts.Hot, p.Front.Counts.Permitted
 	}
-	w.Run(260 * second)
+	w.Run(820 * second)
 	for _, p := range w.Procs {
 		asked, got := p.Front.Counts.Hot-hot[p.Name], p.Front.Counts.Permitted-had[p.Name]
 		part := float64(got) / float64(asked)
 		t.Log(p.Name, asked, got, part)
-		must(t, part > 1/8.0-0.06 && part < 1/8.0+0.06, p.Name, "is served", part)
+		must(t, part > 1/8.0-0.04 && part < 1/8.0+0.04, p.Name, "is served", part)
 	}
 }
