--- a/internal/keeper/book.go
+++ b/internal/keeper/book.go
@@ -11,7 +11,7 @@
 const (
 	firstLines = 4          // a number is thought to have so many lines until more is known
 	probeFirst = 250_000    // one more line is tried so soon after one more was found
-	probeKnown = 1_000_000  // and so soon after a busy end, while fewer than were known are thought to be there
+	probeKnown = 2_000_000  // and so soon after a busy end, while fewer than were known are thought to be there
 	probeMost  = 8_000_000  // and so often at the least
 	moveOver   = 60_000_000 // over which the demand is reckoned that says who should keep a number
 	turnOver   = 10_000_000 // over which the turnover of lines is reckoned
@@ -276,7 +276,7 @@
 		b.slow, b.sought, b.step = false, false, 1
 		b.lines = max(b.lines-busy, calls, 1)
 		b.pause = min(2*b.pause, probeMost)
-		if b.lines < b.known {
+		if b.lines < max(b.known, b.most) {
 			b.pause = probeKnown
 		}
 		b.probe = now + b.pause
--- a/internal/keeper/config.go
+++ b/internal/keeper/config.go
@@ -22,7 +22,7 @@
 	Barred func(name string) bool // processes that are next in a staged change; nil: none
 	Lines  func(key string) int   // lines of a number that the site knows; 0 or nil: they are learned
 
-	Most    int     // numbers kept here at once; 16
+	Most    int     // numbers kept here at once; 16, and never more, for they must fit the process's entry
 	Numbers int     // numbers in the table; 4096
 	Share   float64 // part of its share that a process uses while the keeper can't be reached; 0.5
 	Ahead   float64 // part of the permits given before they are asked for; 0.75
@@ -49,6 +49,7 @@
 // fill puts the defaults in.
 func (c Config) fill() Config {
 	def(&c.Most, 16)
+	c.Most = min(c.Most, maxKept)
 	def(&c.Numbers, 4096)
 	def(&c.Share, 0.5)
 	def(&c.Ahead, 0.75)
@@ -83,8 +84,8 @@
 	switch {
 	case f.Self == "":
 		return &ConfigError{"no name of this process"}
-	case f.Most < 1 || f.Most > maxKept:
-		return &ConfigError{fmt.Sprintf("%d numbers at one keeper, of 1 to %d", f.Most, maxKept)}
+	case f.Most < 1:
+		return &ConfigError{fmt.Sprintf("%d numbers at one keeper", c.Most)}
 	case f.Share < 0 || f.Share > 1:
 		return &ConfigError{fmt.Sprintf("share of %g, of 0 to 1", f.Share)}
 	case f.Ahead < 0 || f.Ahead > 0.9:
