--- a/internal/keeper/front_test.go
+++ b/internal/keeper/front_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"runtime"
 	"slices"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -229,6 +230,69 @@
 	}
 }
 
+// The loop and the part at the same time, for the race detector: permits are used once each, and no line is lost.
+func TestTwoThreads(t *testing.T) {
+	table, queue := NewTable(), NewQueue(16)
+	p, err := New(Config{Self: "a", Lessor: &alone{}}, table, queue)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out fleet.Out
+	p.answered(1, "k", item{Op: opAnswer, Key: hot, Fence: 1}, &out)
+	p.flush(1, &out)
+	s := p.hands[hot].slot
+	f := NewFront(Config{Self: "a"}, settings(), &inner{t: t, seen: map[decide.CallID]bool{}}, table, queue)
+	stop, done := make(chan bool), make(chan int64)
+	var clock atomic.Int64
+	go func() { // the part, and a keeper that gives one permit for each report
+		given, fence := int64(0), uint64(1)
+		for {
+			select {
+			case <-stop:
+				done <- given
+				return
+			case <-queue.Wake():
+			default:
+				runtime.Gosched()
+			}
+			var out fleet.Out
+			now := clock.Load() // both go by one clock
+			p.Tick(now, &out)
+			h := p.hands[hot]
+			if h.waits {
+				if given++; given%50 == 0 {
+					fence++
+				}
+				p.answered(now, "k", item{Op: opAnswer, Key: hot, Fence: fence, N: h.n, Life: 0, Permits: 1, Lasts: 100_000}, &out)
+			}
+		}
+	}()
+	for i := range 8_000 {
+		now, id := int64(i)*10, decide.CallID(i)
+		clock.Store(now)
+		if i%16 == 0 {
+			runtime.Gosched()
+		}
+		for _, a := range f.Step(now, decide.Event{Kind: decide.Order, Call: id, Key: hot}, nil) {
+			if a.Kind == decide.Send {
+				f.Step(now, decide.Event{Kind: decide.Begun, Call: a.Call}, nil)
+				f.Step(now, decide.Event{Kind: decide.Over, Call: a.Call}, nil)
+			}
+		}
+	}
+	close(stop)
+	given := <-done
+	for _, c := range f.calls {
+		if !c.held {
+			t.Error("a call is followed that is over")
+		}
+	}
+	if open := s.open.Load() - s.plain.Load(); int64(f.Counts.Permitted) > given || open > int64(len(f.calls)) {
+		t.Errorf("%d permits given, %d used, %d lines open", given, f.Counts.Permitted, open)
+	}
+	t.Log("given", given, "used", f.Counts.Permitted, "by share", f.Counts.Plain)
+}
+
 // alone is a lessor that grants everything.
 type alone struct{ writes uint64 }
 
