--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -21,6 +21,7 @@
 	"golang.org/x/sys/unix"
 
 	"pewterwheel/internal/advice"
+	"pewterwheel/internal/failpoint"
 	"pewterwheel/internal/fleet"
 	"pewterwheel/internal/fleetnet"
 )
@@ -34,8 +35,9 @@
 	Board               *fleet.Board // nil: one of its own
 	// Make makes the parts, one of a kind at the most, for a life of this number. They are made when the process has had time to
 	// hear of an earlier life of its own, whose clock may have been ahead; and anew, knowing nothing, if it hears of one later.
-	Make func(life uint64) []fleet.Part
-	Wake <-chan struct{} // asks for a Tick of all parts before it is due; nil: nothing does
+	Make  func(life uint64) []fleet.Part
+	First map[fleet.Kind][]byte // parts of the own entry until the modules tell theirs
+	Wake  <-chan struct{}       // asks for a Tick of all parts before it is due; nil: nothing does
 	// Do carries out an act; it may take its time, on a goroutine of the agent's. What came of it goes to Part.Done. nil: every
 	// act fails with an *ActError.
 	Do  func(fleet.Act) error
@@ -146,6 +148,9 @@
 	if cfg.Clock == nil {
 		cfg.Clock = Monotonic
 	}
+	if failpoint.Enabled {
+		cfg.Clock = rated(cfg.Clock)
+	}
 	if cfg.Wall == nil {
 		cfg.Wall = func() int64 { return time.Now().UnixMicro() }
 	}
@@ -167,8 +172,11 @@
 	a := &Agent{cfg: cfg, board: cfg.Board, log: cfg.Log, posted: make(chan func(int64, *fleet.Out), cfg.Queue),
 		acts: make(chan ended, maxActs), states: make(chan fleet.State, 8), stop: make(chan struct{}), over: make(chan struct{}), slots: make(chan struct{}, maxActs), metrics: newMetrics()}
 	a.book = fleet.NewBook(fleet.Entry{Name: cfg.Self, Incarnation: uint64(max(1, cfg.Wall())), Zone: cfg.Zone, Program: cfg.Program,
-		Settings: cfg.Settings, Roster: cfg.Roster, State: fleet.Starting})
+		Settings: cfg.Settings, Roster: cfg.Roster, State: fleet.Starting, Parts: cfg.First})
 	a.book.Stale, a.book.Absent = cfg.Stale, cfg.Absent
+	if failpoint.On("gone-is-left") {
+		a.book.Absent = 1
+	}
 	return a
 }
 
@@ -344,6 +352,9 @@
 		a.deliver(e.Msg)
 		a.carry()
 	case fleetnet.Entry:
+		if failpoint.On("deaf-own") && ofName(e.Bytes, a.cfg.Self) {
+			return
+		}
 		name, spread, err := a.book.Take(a.now, e.Bytes)
 		if err != nil && (a.twice == 0 || a.now-a.twice > 60_000_000) {
 			a.twice = a.now
@@ -430,7 +441,7 @@
 	}
 	a.log.Error("parts of one process go on telling each other", "waiting", len(a.local))
 	a.refused.Add(uint64(len(a.local)))
-	a.local = nil
+	a.local, a.out = nil, fleet.Out{} // else the next round would go on with it
 }
 
 // keep puts a part's own contents into the process's entry, to be told soon.
@@ -553,11 +564,16 @@
 	for _, p := range a.parts {
 		p.Figures(put)
 	}
-	a.metrics.set(fs)
+	if err := a.metrics.set(fs); err != nil {
+		a.log.Error("figures stay as they were", "error", err)
+	}
 }
 
 // Figures gives the figures as they were at the end of the last window. Any goroutine may ask.
 func (a *Agent) Figures(put func(name string, n uint64, gauge bool)) {
+	if failpoint.On("figures-wait") {
+		time.Sleep(300 * time.Millisecond)
+	}
 	for _, f := range a.metrics.gathered() {
 		put(f.name, f.n, f.gauge)
 	}
