--- a/internal/keeper/choice.go
+++ b/internal/keeper/choice.go
@@ -231,7 +231,10 @@
 			}
 		case "":
 			p.counts.noRoom++
-			x.mine = 0
+			if x.mine = 0; now-p.fullAt >= claimFor || p.fullAt == 0 {
+				p.fullAt = now
+				out.Notes = append(out.Notes, fleet.Note{Kind: fleet.Keeper, What: "full", Thing: key, Text: (&FullError{key}).Error()})
+			}
 		default:
 			x.mine = 0
 		}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -46,6 +46,7 @@
 	toldAt   int64
 	weighed  int64
 	swept    int64
+	fullAt   int64 // when it was last said that nobody has room for a number
 	booked   int64
 
 	agenda  agenda
