A test forgets nothing before its verdict; what fades is what a client goes by

Clean outcomes faded before a raise while faults did not: at 50 calls a second clients of offices with 0.1% faults of their own were never raised.

--- a/internal/fleetsim/populations/populations_test.go
+++ b/internal/fleetsim/populations/populations_test.go
@@ -176,5 +176,9 @@
 		fmt.Printf("after %d s: own %d, pooled %d, %.3f of by session; verdicts %v\n", (step+1)*100, own, pooled,
 			float64(own+pooled)/(clients*processes*sessions), modes)
 	}
+	for who, h := range habits {
+		v := w.Procs[0].Loop.Verdict(w.hashes[who])
+		fmt.Printf("%s, epoch %d: %s once in %.0f, faults %.4f, missing %.5f, guarded %.2f\n", v.Mode, v.Epoch, h.Way, 1/h.Rate, h.Faults, h.Missing, h.Guarded)
+	}
 	fmt.Printf("harm %+v of %d calls\n", w.Harm, w.Calls)
 }
--- a/internal/pooling/part.go
+++ b/internal/pooling/part.go
@@ -100,8 +100,10 @@
 	// own alone.
 	all, own [MaxSigns]float64
 	decayed  int64
-	begun    int64 // when the epoch began here
-	grown    int64 // when a sign last came
+	testing  int64  // since when sharing by message is tested
+	tests    uint32 // of it that came to nothing in this epoch
+	begun    int64  // when the epoch began here
+	grown    int64  // when a sign last came
 	deniedAt int64
 	missed   bool   // an own connection has missed something, in whichever epoch
 	changed  uint64 // the change in which this process's own record last changed
@@ -520,6 +522,7 @@
 // renew begins an epoch.
 func (c *client) renew(now int64) {
 	c.all, c.own, c.begun, c.decayed, c.stale = [MaxSigns]float64{}, [MaxSigns]float64{}, now, now, true
+	c.testing, c.tests = now, 0
 }
 
 // clean tells whether a sign speaks for sharing.
@@ -531,15 +534,6 @@
 	return false
 }
 
-// fault tells whether it speaks against it.
-func fault(s Sign) bool {
-	switch s {
-	case CallFault, CallMarkedFault, MessageFault, MessageMarkedFault, EndFault, AfterFault:
-		return true
-	}
-	return false
-}
-
 // deny takes modes from a client within its epoch, and has everybody told.
 func (p *Part) deny(now int64, c *client, modes Modes, by Sign, out *fleet.Out) {
 	if modes = modes.whole(); modes&^c.ev.Denied == 0 {
@@ -663,7 +657,11 @@
 
 // needed is what each test of a mode must reach.
 func (p *Part) needed(c *client, of *[MaxSigns]float64, m Mode) float64 {
-	n := bound(p.cfg.Unsafe, c.ev.Epoch)
+	epoch := c.ev.Epoch
+	if m == ByMessage {
+		epoch += c.tests
+	}
+	n := bound(p.cfg.Unsafe, epoch)
 	if of[Serial] >= fewSigns && of[Overlapped] < of[Serial]/fewSigns && of[Crossed] < of[Serial]/20 {
 		n += demand
 	}
@@ -723,6 +721,9 @@
 		} else {
 			p.falls++
 		}
+		if mode == ByCall && c.mode < mode {
+			c.testing = now
+		}
 		c.mode, c.since, p.dirty = mode, now, true
 		out.Notes = append(out.Notes, fleet.Note{Kind: fleet.Pooling, What: "verdict", Thing: c.thing(), Fence: uint64(c.ev.Epoch),
 			N: int64(mode), Text: c.name + " " + mode.String()})
@@ -761,33 +762,45 @@
 	return own
 }
 
-// decay lets outcomes fade: those that are clean always, the rest only while the client is raised, where the test goes on
-// for ever. Before a raise a fault stays whole, so that waiting never makes a client look better.
+// decay lets what was seen fade once the client goes by it: from then on the test never ends. Before, it stays whole, for
+// Wald's bound is that of a test that forgets nothing; a test that comes to nothing begins anew instead.
 func (p *Part) decay(now int64, c *client) {
 	dt := now - c.decayed
 	c.decayed = now
-	if dt <= 0 || p.doctor.noDecay {
+	if dt <= 0 || p.doctor.noDecay || c.mode == BySession {
 		return
 	}
+	if c.mode == ByMessage {
+		c.testing = now
+	} else if now-c.testing >= undecided {
+		c.testing = now
+		c.tests++
+		for s := range c.all {
+			if byMessage(Sign(s)) {
+				c.all[s], c.own[s] = 0, 0
+			}
+		}
+	}
 	f := math.Exp2(-float64(dt) / halfLife)
 	for s := range c.all {
-		if fault(Sign(s)) && c.mode == BySession {
-			continue
-		}
 		least := 0.
 		switch Sign(s) {
 		case OwnClean, OwnFault, OwnMarkedClean, OwnMarkedFault, AfterClean:
-			if c.mode > BySession {
-				continue // a raised client has few set-ups on own connections, or none, and must not fall for that
-			}
+			continue // a raised client has few set-ups on own connections, or none, and must not fall for that
 		case Marked, Ended, Again, Guarded:
 			least = 1 // what was seen of the client's ways is not forgotten within the epoch
 		}
+		if byMessage(Sign(s)) && c.mode < ByMessage {
+			continue
+		}
 		c.all[s] = max(min(c.all[s], least), c.all[s]*f)
 		c.own[s] = max(min(c.own[s], least), c.own[s]*f)
 	}
 }
 
+// byMessage tells whether a sign belongs to the test of sharing by message.
+func byMessage(s Sign) bool { return s >= MessageClean && s <= EndFault }
+
 // clip takes from what was clean so much that a test stands no higher than the bound given. Guards against good of long ago
 // that outweighs the bad of now.
 func (c *client) clip(t test, most float64) {
