A later life of a process is told all evidence anew

What had been sent to the last life of a process counted as told to the next one until a minute was over. It is reset with the incarnation. Tests: evidence within 3 s of a start, at half weight; loop and part as two goroutines, under the race detector too.

--- a/internal/pooling/part.go
+++ b/internal/pooling/part.go
@@ -82,6 +82,7 @@
 	suspect bool  // or about to leave: nothing is expected of it
 	heard   int64 // when it was last in a view and not suspected; 0: never
 	met     int64 // when it first was
+	life    uint64
 	signs   uint64
 	digest  uint64
 	differs int64 // since when its digest differs; 0: it does not
@@ -221,6 +222,9 @@
 			continue
 		}
 		q := p.peer(now, m.Name)
+		if q.life != m.Incarnation { // a later life knows nothing of what was told to the last
+			q.life, q.told, q.whole = m.Incarnation, 0, now
+		}
 		q.here, q.suspect = true, m.Suspect || m.State == fleet.Leaving
 		if m.State == fleet.Leaving {
 			q.heard = 0
--- a/internal/pooling/pooling_test.go
+++ b/internal/pooling/pooling_test.go
@@ -404,6 +404,19 @@
 	same(t, pooling.BySession, o.mode())
 }
 
+// TestNewLifeIsToldAnew: a process that starts again has its peers' evidence within seconds, at half its weight.
+func TestNewLifeIsToldAnew(t *testing.T) {
+	w := world(4, 9, populations.Habit{Way: populations.Stateless, Rate: 1})
+	w.Play(20_000, nil)
+	w.Idle(2_000_000)
+	k := pooling.Key("app0", "127.0.0.1")
+	had := w.Procs[1].Part.All(k, pooling.CallClean)
+	w.Start(1)
+	w.Idle(3_000_000)
+	has := w.Procs[1].Part.All(k, pooling.CallClean)
+	holds(t, had > 1000 && has > had/4 && has < had/2) // less its own last life, which nobody tells it
+}
+
 // ---- bounds ----
 
 // TestBounds: garbage, more clients than fit, more denials than an entry holds, a ring that nobody empties.
@@ -449,6 +462,41 @@
 	same(t, uint32(3000), n, "nothing is lost while the ring is full")
 }
 
+// TestLoopBesidePart: the loop and the part are two goroutines; what crosses is the ring and the table alone. Under the race
+// detector it tells more.
+func TestLoopBesidePart(t *testing.T) {
+	o := newOne(t, "", pooling.Config{})
+	counted := make(chan uint32)
+	go func() {
+		n := uint32(0)
+		for i := range int64(20_000) {
+			c := o.call(true)
+			if o.loop.Lane(20_000_000+i*1000, c, pooling.SetUp) == pooling.Own {
+				n++
+			}
+			o.see(c, pooling.Answered, 0, "done")
+			o.see(c, pooling.Over, 0, "")
+			o.loop.Round(20_000_000 + i*1000)
+		}
+		for i := range int64(2) { // what is left
+			o.loop.Round(50_000_000 + i*1_000_000)
+		}
+		counted <- n
+	}()
+	var out fleet.Out
+	for i := int64(0); ; i++ {
+		o.part.Tick(20_000_000+i*1000, &out)
+		select {
+		case n := <-counted:
+			o.part.Tick(20_000_000+i*1000, &out)
+			all := o.part.All(key, pooling.OwnClean)
+			holds(t, n > 10_000 && all > 0 && all <= float64(n))
+			return
+		default:
+		}
+	}
+}
+
 // TestLoopAllocatesNothing: what the session code calls for each message.
 func TestLoopAllocatesNothing(t *testing.T) {
 	o := newOne(t, "", pooling.Config{})
