Tell harm in a later epoch from harm after a witness; say what watching is

A denied client is tried again in its next epoch; the rig counted that as harm where the witness was known. The operators' page said of mode watch what the session code does not do.

--- a/internal/fleetsim/populations/populations.go
+++ b/internal/fleetsim/populations/populations.go
@@ -109,7 +109,7 @@
 	LateTold int // of Late: on a process that the witness had reached
 	Late     int // on the own connection, for want of what an earlier call left on a shared one
 	Before   int // of Tried and Raised: after the first witness anywhere, at a process that it had not reached
-	Told     int // of Tried and Raised: set up after this process had been reached by a witness that denies the mode
+	Told     int // of Tried and Raised: set up where a witness that denies the mode was known, in its epoch
 }
 
 func (h *Harm) add(o Harm) {
@@ -143,6 +143,7 @@
 	shown   map[fleet.Kind][]byte // what others see of Parts
 	Witness int64                 // when the first witness was known here; 0: none is
 	Denied  pooling.Modes
+	epoch   uint64       // to which Denied belongs: in a later one the client is tried again
 	Mode    pooling.Mode // of the first client
 	Cut     bool         // nothing comes in or goes out
 	Stopped bool
@@ -256,6 +257,7 @@
 				p.Witness = w.Now
 			}
 			p.Denied |= pooling.Modes(n.N)
+			p.epoch = n.Fence
 		}
 	}
 	for _, m := range out.Send {
@@ -490,7 +492,7 @@
 			if s.who == 0 && lane != pooling.Own && w.First != 0 && p.Witness == 0 {
 				w.Harm.Before++
 			}
-			if s.who == 0 && lane != pooling.Own && p.Witness != 0 && (p.Denied&pooling.DenyCall == pooling.DenyCall || lane == pooling.Any) {
+			if s.who == 0 && lane != pooling.Own && p.Witness != 0 && uint64(p.Loop.Verdict(w.hashes[0]).Epoch) <= p.epoch && (p.Denied&pooling.DenyCall == pooling.DenyCall || lane == pooling.Any) {
 				w.Harm.Told++
 			}
 		case missing:
--- a/internal/pooling/part.go
+++ b/internal/pooling/part.go
@@ -66,7 +66,8 @@
 	Complain func(error)
 	// Unsafe bounds the probability that a client is raised to a mode that it does not bear; 0: 1 in 10,000.
 	Unsafe float64
-	// Watch: verdicts are reached and shown, and nothing goes by them but the trials, without which there were none.
+	// Watch: verdicts are reached and shown, and the table keeps everybody by session. A session code that only tells and never
+	// asks makes no trials; what it tells of shared lanes counts all the same.
 	Watch bool
 	// Signs is the mask of the signs that are gone by; 0: all that this version knows. For tests of versions.
 	Signs uint64
