--- a/internal/member/fail.go
+++ b/internal/member/fail.go
@@ -2,6 +2,11 @@
 
 package member
 
-import "pewterwheel/internal/fleet"
+import (
+	"pewterwheel/internal/fleet"
+	"pewterwheel/internal/lease"
+)
 
 func (*together) failParts() []fleet.Part { return nil }
+
+func doctored(c lease.Config) lease.Config { return c }
--- a/internal/service/config.go
+++ b/internal/service/config.go
@@ -39,6 +39,7 @@
 	Laner       pooling.Laner `json:"-"`
 	Watch       bool          `json:"-"`
 	Application string        `json:"-"`
+	Clock       func() int64  `json:"-"` // of Clock's; nil: one of the service's own
 }
 
 // ReadConfig reads the configuration. Unknown fields are passed over: newer platforms tell more.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -99,6 +99,9 @@
 	return s, err
 }
 
+// With says whom the process serves with. It comes before the first Read.
+func (r *Reader) With(c Company) { r.company = c }
+
 // Path is the process's own file.
 func (r *Reader) Path() string { return r.path }
 
@@ -115,15 +118,14 @@
 	return c, err
 }
 
-// readAnew reads the process's own file, and that of a change if it goes by one. What concerns the fleet is in its own; one
-// that names no change any more is what the process goes by.
+// readAnew reads the process's own file, and that of a change if it goes by one. What concerns the fleet is in its own.
 func (r *Reader) readAnew() (service.Config, error) {
 	doc, s, digest, err := r.load(r.path)
 	if err != nil {
 		return service.Config{}, err
 	}
 	own := s
-	if s.Change == nil {
+	if r.applied != "" && r.taken == nil && r.company != nil && r.company.Released() {
 		r.applied = ""
 	}
 	if r.applied != "" {
@@ -251,6 +253,9 @@
 		}
 		return r.company.Front(set, names, routed), nil
 	}
+	if r.company != nil {
+		r.company.Configure(&c)
+	}
 	return c
 }
 
@@ -270,8 +275,12 @@
 type Company interface {
 	// Front makes what stands before the decider of this process. Classes are the names of the settings' classes.
 	Front(set decide.Settings, classes []string, inner session.Decider) session.Decider
+	// Configure sets what the service needs beside the file's own: a clock, lanes.
+	Configure(c *service.Config)
 	// Loaded tells of each file of this process's own that was read, and the digest of the settings that it goes by.
 	Loaded(own config.Sidecar, digest uint64)
+	// Released tells whether a process that goes by the file of a change may go by its own again.
+	Released() bool
 	// Forward passes signals on, and may add some.
 	Forward(<-chan os.Signal) <-chan os.Signal
 	// Run serves until Leave, which returns once all of it has ended.
@@ -328,9 +337,11 @@
 	if Join == nil {
 		return ErrProgram
 	}
-	if r.company, err = Join(r, s, o.Member, log); err != nil {
+	company, err := Join(r, s, o.Member, log)
+	if err != nil {
 		return err
 	}
+	r.With(company)
 	signals = r.company.Forward(signals)
 	go r.company.Run()
 	defer r.company.Leave()
