--- a/internal/pooling/export_test.go
+++ b/internal/pooling/export_test.go
@@ -64,7 +64,7 @@
 var Bound, Likelihood = bound, likelihood
 
 // Body is a message with one record of the client of the given key.
-func Body(key, signs, life uint64, said uint32, opinion Mode, counts map[Sign]uint32) []byte {
-	s := speech{Signs: signs, Life: life, Evidence: []saidRecord{{Key: key, Epoch: 1, Opinion: opinion, Said: said, Counts: counts}}}
+func Body(key, signs, life uint64, epoch, said uint32, opinion Mode, counts map[Sign]uint32) []byte {
+	s := speech{Signs: signs, Life: life, Evidence: []saidRecord{{Key: key, Epoch: epoch, Opinion: opinion, Said: said, Counts: counts}}}
 	return s.bytes()
 }
--- a/internal/pooling/pooling_test.go
+++ b/internal/pooling/pooling_test.go
@@ -108,8 +108,10 @@
 	out  fleet.Out
 	view fleet.View
 	ids  uint64
-	sess pooling.SessionID
-	c    pooling.ClientID
+	// epoch is that of others' evidence, less one
+	epoch uint32
+	sess  pooling.SessionID
+	c     pooling.ClientID
 }
 
 var key = pooling.Key("app", "127.0.0.1")
@@ -185,7 +187,7 @@
 
 // evidence makes a process of others tell clean outcomes, or any other counts, of the client.
 func (o *one) evidence(t testing.TB, from string, signs uint64, opinion pooling.Mode, counts map[pooling.Sign]uint32) {
-	b := pooling.Body(key, signs, 9, uint32(opinion)+1, opinion, counts)
+	b := pooling.Body(key, signs, 9, o.epoch+1, uint32(opinion)+1, opinion, counts)
 	holds(t, len(b) <= fleet.MaxBody)
 	o.part.Message(o.now, fleet.Message{Kind: fleet.Pooling, From: from, To: "self", Body: b}, &o.out)
 	o.pass(1_000_000, 100_000)
@@ -417,6 +419,20 @@
 	holds(t, had > 1000 && has > had/4 && has < had/2) // less its own last life, which nobody tells it
 }
 
+// TestEpochs: a denial ends with its epoch alone, and a young one goes over into an epoch that began elsewhere.
+func TestEpochs(t *testing.T) {
+	o := newOne(t, "", pooling.Config{}, serving("other"))
+	o.loop.Count(o.c, pooling.StateMissing, 1)
+	o.pass(100_000_000, 1_000_000)
+	same(t, pooling.Verdict{Epoch: 1, Mode: pooling.BySession, Since: o.loop.Verdict(key).Since}, o.loop.Verdict(key))
+	o.epoch = 1
+	o.evidence(t, "other", pooling.Known, pooling.ByCall, enough)
+	same(t, pooling.Verdict{Epoch: 2, Mode: pooling.BySession, Since: o.loop.Verdict(key).Since}, o.loop.Verdict(key))
+	o.pass(1_210_000_000, 1_000_000) // twice as long in the second epoch
+	v := o.loop.Verdict(key)
+	same(t, []any{uint32(3), pooling.ByCall, o.part.Digest()}, []any{v.Epoch, v.Trial, uint64(0)})
+}
+
 // ---- bounds ----
 
 // TestBounds: garbage, more clients than fit, more denials than an entry holds, a ring that nobody empties.
