--- a/internal/fleetsim/populations/populations.go
+++ b/internal/fleetsim/populations/populations.go
@@ -511,7 +511,7 @@
 			continue
 		}
 		answer := "done"
-		if s.state == 0 || h.Way != Ordered && !shows && (c.Free || h.Way != Behind) && w.chance(0.01) { // a new token, or prepared anew
+		if s.state == 0 || h.Way != Ordered && (h.Way == Behind && c.Free || h.Way != Behind && !shows) && w.chance(0.01) { // a new token, or prepared anew
 			s.state = on
 			if tokens {
 				s.token = fmt.Sprintf("tok-%08x", w.r.Uint32())
--- a/internal/pooling/loop.go
+++ b/internal/pooling/loop.go
@@ -386,7 +386,7 @@
 	case Answered:
 		x.takes(o.Text)
 		if c.Memo&memoRefused == 0 {
-			l.count(id, x.outcome(c, OwnClean))
+			l.count(id, l.outcome(x, c, OwnClean))
 		}
 		if c.Lane != Own {
 			break
@@ -428,7 +428,7 @@
 		return
 	}
 	c.Memo |= memoRefused
-	l.count(id, x.outcome(c, OwnFault))
+	l.count(id, l.outcome(x, c, OwnFault))
 	if cause != wire.CauseMissing {
 		return
 	}
@@ -447,12 +447,14 @@
 
 // outcome is the sign of an answer or refusal; of is OwnClean or OwnFault. 0: it is none. What own connections refuse of a
 // session that has shared is no base any more; where it may be repeated, its trials tell the same.
-func (x *session) outcome(c *Call, of Sign) Sign {
+func (l *Loop) outcome(x *session, c *Call, of Sign) Sign {
 	switch c.Lane {
 	case Own:
 		switch {
 		case x.shared && c.Free:
 			return 0
+		case x.shared && of == OwnClean && !l.often(x):
+			return 0
 		case x.shared:
 			return of + AfterClean - OwnClean
 		}
@@ -467,6 +469,13 @@
 	return of
 }
 
+// often tells whether about half of a session's set-ups are shared, as the test of guarded calls takes for granted. Guards
+// against passing it by what was clean while hardly anything could have been left behind.
+func (l *Loop) often(x *session) bool {
+	v := l.verdict(&l.clients[x.client])
+	return v.Mode > BySession || v.Share >= part(mostShare)
+}
+
 // witness denies at once, here, and has it handed on with the round.
 func (l *Loop) witness(id ClientID, s Sign) {
 	cl := &l.clients[id]
