--- a/internal/pooling/pooling_test.go
+++ b/internal/pooling/pooling_test.go
@@ -108,8 +108,10 @@
 	out  fleet.Out
 	view fleet.View
 	ids  uint64
-	sess pooling.SessionID
-	c    pooling.ClientID
+	// epoch is that of others' evidence, less one
+	epoch uint32
+	sess  pooling.SessionID
+	c     pooling.ClientID
 }
 
 var key = pooling.Key("app", "127.0.0.1")
@@ -185,7 +187,7 @@
 
 // evidence makes a process of others tell clean outcomes, or any other counts, of the client.
 func (o *one) evidence(t testing.TB, from string, signs uint64, opinion pooling.Mode, counts map[pooling.Sign]uint32) {
-	b := pooling.Body(key, signs, 9, uint32(opinion)+1, opinion, counts)
+	b := pooling.Body(key, signs, 9, o.epoch+1, uint32(opinion)+1, opinion, counts)
 	holds(t, len(b) <= fleet.MaxBody)
 	o.part.Message(o.now, fleet.Message{Kind: fleet.Pooling, From: from, To: "self", Body: b}, &o.out)
 	o.pass(1_000_000, 100_000)
@@ -404,6 +406,33 @@
 	same(t, pooling.BySession, o.mode())
 }
 
+// TestNewLifeIsToldAnew: a process that starts again has its peers' evidence within seconds, at half its weight.
+func TestNewLifeIsToldAnew(t *testing.T) {
+	w := world(4, 9, populations.Habit{Way: populations.Stateless, Rate: 1})
+	w.Play(20_000, nil)
+	w.Idle(2_000_000)
+	k := pooling.Key("app0", "127.0.0.1")
+	had := w.Procs[1].Part.All(k, pooling.CallClean)
+	w.Start(1)
+	w.Idle(3_000_000)
+	has := w.Procs[1].Part.All(k, pooling.CallClean)
+	holds(t, had > 1000 && has > had/4 && has < had/2) // less its own last life, which nobody tells it
+}
+
+// TestEpochs: a denial ends with its epoch alone, and a young one goes over into an epoch that began elsewhere.
+func TestEpochs(t *testing.T) {
+	o := newOne(t, "", pooling.Config{}, serving("other"))
+	o.loop.Count(o.c, pooling.StateMissing, 1)
+	o.pass(100_000_000, 1_000_000)
+	same(t, pooling.Verdict{Epoch: 1, Mode: pooling.BySession, Since: o.loop.Verdict(key).Since}, o.loop.Verdict(key))
+	o.epoch = 1
+	o.evidence(t, "other", pooling.Known, pooling.ByCall, enough)
+	same(t, pooling.Verdict{Epoch: 2, Mode: pooling.BySession, Since: o.loop.Verdict(key).Since}, o.loop.Verdict(key))
+	o.pass(1_210_000_000, 1_000_000) // twice as long in the second epoch
+	v := o.loop.Verdict(key)
+	same(t, []any{uint32(3), pooling.ByCall, o.part.Digest()}, []any{v.Epoch, v.Trial, uint64(0)})
+}
+
 // ---- bounds ----
 
 // TestBounds: garbage, more clients than fit, more denials than an entry holds, a ring that nobody empties.
@@ -449,6 +478,41 @@
 	same(t, uint32(3000), n, "nothing is lost while the ring is full")
 }
 
+// TestLoopBesidePart: the loop and the part are two goroutines; what crosses is the ring and the table alone. Under the race
+// detector it tells more.
+func TestLoopBesidePart(t *testing.T) {
+	o := newOne(t, "", pooling.Config{})
+	counted := make(chan uint32)
+	go func() {
+		n := uint32(0)
+		for i := range int64(20_000) {
+			c := o.call(true)
+			if o.loop.Lane(20_000_000+i*1000, c, pooling.SetUp) == pooling.Own {
+				n++
+			}
+			o.see(c, pooling.Answered, 0, "done")
+			o.see(c, pooling.Over, 0, "")
+			o.loop.Round(20_000_000 + i*1000)
+		}
+		for i := range int64(2) { // what is left
+			o.loop.Round(50_000_000 + i*1_000_000)
+		}
+		counted <- n
+	}()
+	var out fleet.Out
+	for i := int64(0); ; i++ {
+		o.part.Tick(20_000_000+i*1000, &out)
+		select {
+		case n := <-counted:
+			o.part.Tick(20_000_000+i*1000, &out)
+			all := o.part.All(key, pooling.OwnClean)
+			holds(t, n > 10_000 && all > 0 && all <= float64(n))
+			return
+		default:
+		}
+	}
+}
+
 // TestLoopAllocatesNothing: what the session code calls for each message.
 func TestLoopAllocatesNothing(t *testing.T) {
 	o := newOne(t, "", pooling.Config{})
