--- a/internal/session/lanes.go
+++ b/internal/session/lanes.go
@@ -1,6 +1,7 @@
 package session
 
 import (
+	"log/slog"
 	"math"
 	"net"
 	"slices"
@@ -591,6 +592,14 @@
 	clear(n.scratch)
 }
 
+// laneLog is the log; of a lane it names that beside.
+func (s *Session) laneLog(l *state.Lane) *slog.Logger {
+	if l.Number == 0 {
+		return s.log
+	}
+	return s.log.With("lane", l.Number)
+}
+
 // laneFigures are told to staff where calls are given lanes.
 func (s *Session) laneFigures(b []byte) []byte {
 	n := &s.lanes
--- a/internal/session/offices.go
+++ b/internal/session/offices.go
@@ -384,7 +384,7 @@
 func (s *Session) officeUnreached(l *state.Lane, err error) {
 	o := l.To
 	l.Dialling = 0
-	s.log.Warn("office unreached", "office", o.ID, "lane", l.Number, "error", err)
+	s.laneLog(l).Warn("office unreached", "office", o.ID, "error", err)
 	s.unreached(l)
 	if l.Number != 0 {
 		s.laneOver(l)
@@ -426,7 +426,7 @@
 	if errors.Is(err, errIdle) {
 		level = slog.LevelDebug
 	}
-	s.log.Log(context.Background(), level, "office connection ended", "office", o.ID, "lane", l.Number, "out", len(l.Out), "standing", len(o.Standing), "error", err)
+	s.laneLog(l).Log(context.Background(), level, "office connection ended", "office", o.ID, "out", len(l.Out), "standing", len(o.Standing), "error", err)
 	for _, at := range inOrder(l.Out) {
 		if at.Failed {
 			s.Counters[state.Unreached]++
