--- a/internal/stage/conductor.go
+++ b/internal/stage/conductor.go
@@ -670,19 +670,37 @@
 	}
 }
 
-// conclude has the new target written down by all who are heard.
+// conclude has the new target written down by all who are heard. One that died on the way, and came back by what was concluded
+// before, is taken along: one at a time, and left behind if it does not come.
 func (p *Part) conclude(now int64, out *fleet.Out) {
 	c := &p.conductor
 	again := c.said == 0 || now-c.said >= p.c.Rules.Repeat
 	if again {
 		c.said = now
 	}
-	left := false
+	left, behind := false, ""
 	for _, n := range p.watch.names {
-		if q := p.watch.peers[n]; q.here() && q.in(c.rec.Target.Change) {
+		q := p.watch.peers[n]
+		switch {
+		case !q.here() || q.told.State == Refusing:
+		case q.in(c.rec.Target.Change):
 			if left = true; again {
 				p.say(now, n, Conclude, out)
 			}
+		case q.told.Goes < c.rec.Target.Change && behind == "" && c.whys[n] == "":
+			behind = n
+		}
+	}
+	if behind != "" && !left {
+		if at, ok := c.heard[behind]; !ok {
+			c.heard[behind] = now
+			p.note(out, "takes along", c.grant.Fence, int64(c.rec.Target.Change), behind)
+		} else if now-at > p.c.Rules.Patience {
+			c.whys[behind] = "left behind"
+			p.note(out, "left behind", c.grant.Fence, int64(c.rec.Target.Change), behind)
+		}
+		if left = true; again {
+			p.say(now, behind, Apply, out)
 		}
 	}
 	if left {
