Begin a change with an ordinary process, and hold few new ones against the furthest old one

The first one is drawn from those that are offered about as much as most now, and up to four new processes are not halted for what an old one shows as well.

--- a/internal/stage/evidence.go
+++ b/internal/stage/evidence.go
@@ -566,6 +566,9 @@
 			mid = 0
 		}
 		w := float64(len(g.news)) / float64(nNew)
+		for _, x := range g.olds {
+			c.most = max(c.most, x-mid)
+		}
 		c.diff += w * (stat.Mean(g.news, nil) - mid)
 		c.variance += w * w * v * (1/float64(len(g.news)) + 1/n)
 		most = max(most, v)
@@ -656,6 +659,11 @@
 		}
 		told++
 		f := finding{verdict: c.judge(alpha, e.rules.Beta, e.doctor), measure: m, comparison: c}
+		// The spread of the old ones says little of how far out one of them can be, as the one on which a jump falls hardest:
+		// a few new ones are not halted for what an old one shows as well.
+		if f.verdict == harms && c.nNew < 5 && c.nOld >= 20 && c.diff <= c.most {
+			f.verdict = untold
+		}
 		if f.verdict == harms {
 			f.text = f.reason()
 			return f
--- a/internal/stage/judge.go
+++ b/internal/stage/judge.go
@@ -24,6 +24,7 @@
 	margin   float64 // what must be seen
 	spared   float64 // what is let pass
 	old, new float64 // as the reason gives them
+	most     float64 // of any old process, on the same scale
 	nOld     int     // processes
 	nNew     int
 	calls    float64 // on the new side
--- a/internal/stage/plan.go
+++ b/internal/stage/plan.go
@@ -66,6 +66,7 @@
 	back       bool // processes are taken out of the change
 	last       bool // has waited long for room: one at a time goes back whatever is offered
 	self       string
+	usual      float64 // what the middle one is offered; 0: not known yet
 	stage      int
 	told       int // told so far, over all stages
 	places     []place
@@ -173,7 +174,12 @@
 		if p.back {
 			room = in
 		}
+		ordinary := slices.ContainsFunc(list, func(x place) bool { return x.here && !x.busy && !x.in && x.name != p.self && p.ordinary(x) })
 		for i, x := range list {
+			// The first one alone is judged: not by what the busiest of all shows in a jump, or the idlest.
+			if p.stage == One && !p.back && ordinary && !p.ordinary(x) {
+				continue
+			}
 			if !x.here || x.busy || x.in != p.back || room <= 0 {
 				continue
 			}
@@ -215,6 +221,21 @@
 	return wave, why
 }
 
+// ordinary tells whether a process is offered about as much as most are.
+func (p *plan) ordinary(x place) bool {
+	if p.usual == 0 {
+		var all []float64
+		for _, y := range p.places {
+			if y.here {
+				all = append(all, y.offered)
+			}
+		}
+		slices.Sort(all)
+		p.usual = max(all[len(all)/2], 1e-9)
+	}
+	return x.offered >= 0.75*p.usual && x.offered <= 1.25*p.usual
+}
+
 // room is by how much what is served must stay over what is offered. Those that go back do so with none to spare.
 func (p *plan) room() float64 {
 	if p.back {
