--- a/internal/stage/plan.go
+++ b/internal/stage/plan.go
@@ -77,17 +77,22 @@
 // quota is how many processes of each zone a stage holds: its size shared out by the zones' sizes, the rest to those that
 // come first in the change's order.
 func (p *plan) quota() (zones []string, want map[string]int) {
-	have := map[string]int{}
+	// Of those that are heard: a zone that is cut off has no part that others would wait for.
+	have, heard := map[string]int{}, 0
 	for _, x := range p.places {
+		if !x.here {
+			continue
+		}
+		heard++
 		if have[x.zone]++; have[x.zone] == 1 {
 			zones = append(zones, x.zone)
 		}
 	}
 	slices.SortFunc(zones, func(a, b string) int { return byOrder(p.change, a, b) })
 	want = map[string]int{}
-	left := Size(p.stage, len(p.places))
+	left := min(Size(p.stage, len(p.places)), heard)
 	for size, i := left, 0; i < len(zones); i++ {
-		n := size * have[zones[i]] / max(1, len(p.places))
+		n := size * have[zones[i]] / max(1, heard)
 		want[zones[i]], left = n, left-n
 	}
 	for i := 0; left > 0 && len(zones) > 0; i++ {
