--- a/internal/stage/evidence.go
+++ b/internal/stage/evidence.go
@@ -29,6 +29,9 @@
 // maxSlots bounds the slots whose spread is kept, to know what is usual.
 const maxSlots = 1024
 
+// leastSlots are gathered before a stage is judged at all.
+const leastSlots = 4
+
 // maxClasses bounds the classes told apart; further ones count as the last.
 const maxClasses = 16
 
@@ -142,7 +145,7 @@
 	for _, n := range e.names {
 		s := e.subjects[n]
 		s.after, s.memory, s.slots = [growth]pair{}, line{}, 0
-		s.out = s.side == neither || s.side == newer && now < s.warm
+		s.out = s.side == neither // one that this process has seen for less than it takes to be warm comes in later
 	}
 }
 
@@ -238,7 +241,7 @@
 	}
 	if w.Memory > 0 {
 		s.cells[0].m[memory].add(pair{float64(w.Memory), 1})
-		if e.stage >= 0 && !s.out && now >= e.since {
+		if e.stage >= 0 && !s.out && now >= e.since && (s.side == former || now >= s.warm) {
 			s.memory.add(float64(now-e.since)/60e6, float64(w.Memory))
 		}
 	}
@@ -492,6 +495,17 @@
 	return list
 }
 
+// farthest is how many standard deviations from its zone's middle a process's score counts at the most.
+const farthest = 6
+
+func median(list []float64) float64 {
+	if len(list) == 0 {
+		return 0
+	}
+	s := slices.Sorted(slices.Values(list))
+	return s[len(s)/2]
+}
+
 // compare is old against new in one measure; false: there is nothing to compare, as where a figure is not told.
 func (e *evidence) compare(m int) (comparison, bool) {
 	list := e.scores(m)
@@ -530,6 +544,30 @@
 			g.olds = append(g.olds, s.x)
 		}
 	}
+	// One that is far out of all others, old or new, as the busiest in a jump, counts as far as the others' spread makes likely.
+	var off []float64
+	middle := map[string]float64{}
+	for _, z := range zones {
+		if g := groups[z]; len(g.olds) > 0 {
+			middle[z] = median(g.olds)
+			for _, x := range g.olds {
+				off = append(off, math.Abs(x-middle[z]))
+			}
+		}
+	}
+	if far := farthest * 1.4826 * median(off); len(off) >= 20 && far > 0 {
+		for _, z := range zones {
+			g := groups[z]
+			if len(g.olds) == 0 {
+				continue
+			}
+			for _, l := range [][]float64{g.olds, g.news} {
+				for i := range l {
+					l[i] = min(max(l[i], middle[z]-far), middle[z]+far)
+				}
+			}
+		}
+	}
 	c := comparison{nNew: nNew}
 	sumSq, freedom := 0.0, -1.0
 	for _, z := range zones {
@@ -661,6 +699,10 @@
 		f := finding{verdict: c.judge(alpha, e.rules.Beta, e.doctor), measure: m, comparison: c}
 		// The spread of the old ones says little of how far out one of them can be, as the one on which a jump falls hardest:
 		// a few new ones are not halted for what an old one shows as well.
+		// One slot in which a trouble begins is no path: its spread is that of the moment alone.
+		if e.slots < leastSlots {
+			f.verdict = untold
+		}
 		if f.verdict == harms && c.nNew < 5 && c.nOld >= 20 && c.diff <= c.most {
 			f.verdict = untold
 		}
