--- a/internal/stage/evidence.go
+++ b/internal/stage/evidence.go
@@ -304,6 +304,9 @@
 				if z := zones[s.zone]; z != nil && z[c][m].den > 0 {
 					mu = z[c][m]
 				}
+				if z := zones[s.zone]; e.stage == All && (z == nil || z[c][m].den == 0) {
+					continue
+				}
 				if e.doctor.noPairs {
 					mu = e.steady[c][m]
 				}
@@ -509,6 +512,16 @@
 // compare is old against new in one measure; false: there is nothing to compare, as where a figure is not told.
 func (e *evidence) compare(m int) (comparison, bool) {
 	list := e.scores(m)
+	if e.stage == All {
+		// The rest changes zone by zone: where no old ones are left there is nothing to compare with, and another zone's are no measure.
+		olds := map[string]int{}
+		for _, s := range list {
+			if !s.newer {
+				olds[s.zone]++
+			}
+		}
+		list = slices.DeleteFunc(list, func(s score) bool { return olds[s.zone] < 4 })
+	}
 	// What a process showed beyond the others before the change it goes on to show in part: how large a part, the old ones tell.
 	var xs, ys []float64
 	for _, s := range list {
