--- a/internal/stage/plan.go
+++ b/internal/stage/plan.go
@@ -66,6 +66,7 @@
 	back       bool // processes are taken out of the change
 	last       bool // has waited long for room: one at a time goes back whatever is offered
 	self       string
+	usual      float64 // what the middle one is offered; 0: not known yet
 	stage      int
 	told       int // told so far, over all stages
 	places     []place
@@ -76,17 +77,22 @@
 // quota is how many processes of each zone a stage holds: its size shared out by the zones' sizes, the rest to those that
 // come first in the change's order.
 func (p *plan) quota() (zones []string, want map[string]int) {
-	have := map[string]int{}
+	// Of those that are heard: a zone that is cut off has no part that others would wait for.
+	have, heard := map[string]int{}, 0
 	for _, x := range p.places {
+		if !x.here {
+			continue
+		}
+		heard++
 		if have[x.zone]++; have[x.zone] == 1 {
 			zones = append(zones, x.zone)
 		}
 	}
 	slices.SortFunc(zones, func(a, b string) int { return byOrder(p.change, a, b) })
 	want = map[string]int{}
-	left := Size(p.stage, len(p.places))
+	left := min(Size(p.stage, len(p.places)), heard)
 	for size, i := left, 0; i < len(zones); i++ {
-		n := size * have[zones[i]] / max(1, len(p.places))
+		n := size * have[zones[i]] / max(1, heard)
 		want[zones[i]], left = n, left-n
 	}
 	for i := 0; left > 0 && len(zones) > 0; i++ {
@@ -173,7 +179,12 @@
 		if p.back {
 			room = in
 		}
+		ordinary := slices.ContainsFunc(list, func(x place) bool { return x.here && !x.busy && !x.in && x.name != p.self && p.ordinary(x) })
 		for i, x := range list {
+			// The first one alone is judged: not by what the busiest of all shows in a jump, or the idlest.
+			if p.stage == One && !p.back && ordinary && !p.ordinary(x) {
+				continue
+			}
 			if !x.here || x.busy || x.in != p.back || room <= 0 {
 				continue
 			}
@@ -215,6 +226,21 @@
 	return wave, why
 }
 
+// ordinary tells whether a process is offered about as much as most are.
+func (p *plan) ordinary(x place) bool {
+	if p.usual == 0 {
+		var all []float64
+		for _, y := range p.places {
+			if y.here {
+				all = append(all, y.offered)
+			}
+		}
+		slices.Sort(all)
+		p.usual = max(all[len(all)/2], 1e-9)
+	}
+	return x.offered >= 0.75*p.usual && x.offered <= 1.25*p.usual
+}
+
 // room is by how much what is served must stay over what is offered. Those that go back do so with none to spare.
 func (p *plan) room() float64 {
 	if p.back {
