--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -569,7 +569,7 @@
 // Figures gives the figures as they were at the end of the last window. Any goroutine may ask.
 func (a *Agent) Figures(put func(name string, n uint64, gauge bool)) {
 	if failpoint.On("figures-wait") {
-		time.Sleep(300 * time.Millisecond)
+		time.Sleep(1500 * time.Millisecond)
 	}
 	for _, f := range a.metrics.gathered() {
 		put(f.name, f.n, f.gauge)
--- a/internal/fleettest/fleet_test.go
+++ b/internal/fleettest/fleet_test.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
 // The usual run is that of CI: eight members, a few minutes in all. `make fleet` asks for more.
@@ -275,3 +277,71 @@
 	f.Agree("after noise")
 	sound(t, f)
 }
+
+// waits are the waits of answered calls.
+type waits struct {
+	sync.Mutex
+	h *hdrhistogram.Histogram
+}
+
+func (w *waits) add(d time.Duration) {
+	w.Lock()
+	defer w.Unlock()
+	_ = w.h.RecordValue(min(d.Microseconds(), 60_000_000))
+}
+
+// spent is the 99.9th percentile of the waits in a fleet, from its first 400 calls on until so many are answered.
+func spent(f *Fleet, calls int) func() time.Duration {
+	w := &waits{h: hdrhistogram.New(1, 60_000_000, 3)}
+	for _, p := range f.Process {
+		p.Caller.Spent = func(d time.Duration) {
+			if f.answers() > 400 {
+				w.add(d)
+			}
+		}
+	}
+	stop := f.Offer(25)
+	return func() time.Duration {
+		f.Until("calls are answered", func() bool { return f.answers() >= calls })
+		stop()
+		w.Lock()
+		defer w.Unlock()
+		return time.Duration(w.h.ValueAtQuantile(99.9)) * time.Microsecond
+	}
+}
+
+// besides runs two fleets side by side, one whose members share and claim while their network is rough and cut, and one whose
+// members know nothing of each other, and gives the 99.9th percentile of the waits in each.
+func besides(t *testing.T, points string) (shared, alone time.Duration) {
+	on, off := begin(t, Options{Members: 5, Failpoints: points}), begin(t, Options{Members: 5, Off: true})
+	a, b := spent(on, 3000), spent(off, 3000)
+	was := on.holder("x")
+	on.Each(Rough)
+	on.Cut([]int{was}, on.rest(was), true, true)
+	for range 6 {
+		on.Process[1].Ask("STATS", patience)
+		off.Process[1].Ask("STATS", patience)
+	}
+	on.holder("x", was)
+	on.Each(Faults{})
+	shared, alone = a(), b()
+	sound(t, on)
+	sound(t, off)
+	t.Logf("99.9%% of calls pass within %v with a fleet, and within %v without", shared, alone)
+	return shared, alone
+}
+
+// The loop of calls never waits for what passes between processes: the longest waits are the same with it and without, but
+// for what a busy machine does to each.
+func TestLoopDoesNotWait(t *testing.T) {
+	if shared, alone := besides(t, "claim=x"); shared > 3*alone+100*time.Millisecond {
+		t.Errorf("99.9%% of calls pass within %v with a fleet, and within %v without", shared, alone)
+	}
+}
+
+// With a part that the loop waits for they are not.
+func TestPlantedWait(t *testing.T) {
+	if shared, alone := besides(t, "claim=x,figures-wait"); shared <= 3*alone+100*time.Millisecond {
+		t.Errorf("half a second of waiting was not seen: %v and %v", shared, alone)
+	}
+}
