--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -116,7 +116,7 @@
 		{Key: "share", Type: Part, Default: "5%", Max: 1, Doc: "calls to a kept number that go without a permit while its keeper cannot be reached"},
 	}},
 	{Kind: "pooling", Owner: OfSite, Absent: true, Doc: "connections to hosts by what callers' sessions were observed to need", Settings: []Setting{
-		{Key: "mode", Type: Choice, Default: "watch", Choices: []string{"off", "watch", "on"}, Doc: "watch: verdicts are reached and shown, and nothing goes by them"},
+		{Key: "mode", Type: Choice, Default: "watch", Choices: []string{"off", "watch", "on"}, Doc: "watch: verdicts are reached and shown; all calls go by session, but for the trials"},
 		{Key: "unsafe", Type: Part, Default: "0.01%", Min: 0.00001, Max: 0.01, Doc: "unsafe sessions that may be taken for safe at the most"},
 	}},
 	{Kind: "application", Owner: OfApplication, Required: true, Doc: "what an application declares of itself", Settings: []Setting{
--- a/internal/member/parts.go
+++ b/internal/member/parts.go
@@ -86,6 +86,7 @@
 		return
 	}
 	target, err := t.target(*s.Change)
+	target = t.whole(target)
 	if err == nil {
 		err = t.stage.Propose(now, target, out)
 	}
@@ -120,7 +121,7 @@
 
 // conclude writes down by what this process comes up from now on, so that it is there whole or not at all.
 func (t *together) conclude(to stage.Target) error {
-	text, err := json.Marshal(to)
+	text, err := json.Marshal(outcome{to, t.expand(to.Program)})
 	if err != nil {
 		return &ApplyError{t.file, err}
 	}
@@ -187,13 +188,14 @@
 	return true
 }
 
-// stageRules are the rules of changes. A build for tests may have them in less time, as by stage=0.05 in a twentieth.
+// stageRules are the rules of changes. A build for tests may have them in less time, as by stage=0.05 in a twentieth; figures are compared
+// over two windows at least, all the same.
 func stageRules() stage.Rules {
 	if failpoint.Enabled {
 		if by, err := parseFactor(failpoint.Value("stage")); err == nil {
-			const second = 1e6
+			const second, usualWindow = 1e6, 1e6 // figures come by windows of a second
 			t := func(s float64) int64 { return int64(s * second * by) }
-			return stage.Rules{Baseline: t(120), Warm: t(30), Slot: t(10), Look: t(60), Most: t(600), Patience: t(60), Lost: t(20), Ask: t(30), Repeat: t(1)}
+			return stage.Rules{Baseline: t(120), Warm: t(30), Slot: max(t(10), usualWindow), Look: max(t(60), 3*usualWindow), Most: t(600), Patience: max(t(60), 10*second)}
 		}
 	}
 	return stage.Rules{}
