--- a/internal/fleettest/checks.go
+++ b/internal/fleettest/checks.go
@@ -12,7 +12,7 @@
 // Check runs every check that holds of a history whatever was done to the processes.
 func Check(events []Event) []Violation {
 	var vs []Violation
-	for _, check := range []func([]Event) []Violation{OneHolder, Lives, Permits, Records, Stages, Verdicts} {
+	for _, check := range []func([]Event) []Violation{OneHolder, Lives, Records, Stages, Verdicts} {
 		vs = append(vs, check(events)...)
 	}
 	return vs
@@ -107,88 +107,50 @@
 	return vs
 }
 
-// Permits checks the permits of every number by a sweep over time: never more out than the lines that the record of the
-// fence in force has. A permit is out until it is returned, runs out, or its keeper has noted a new number of lines above it.
-func Permits(events []Event) []Violation {
-	var vs []Violation
-	type permit struct {
-		n, until int64
-		fence    uint64
-	}
-	out, lines := map[string]map[string]permit{}, map[string]int64{}
-	for _, e := range of(events, "keeper") {
-		if e.Kind == "rig" {
-			continue // a permit outlives its keeper: those who have it go by it until it runs out
-		}
-		if out[e.Thing] == nil {
-			out[e.Thing] = map[string]permit{}
-		}
-		id := fmt.Sprint(e.Fence, " ", e.Text)
-		switch e.What {
-		case "lines":
-			lines[e.Thing] = e.N
-		case "permit":
-			if _, twice := out[e.Thing][id]; twice {
-				vs = append(vs, Violation{"permits", fmt.Sprintf("permit %s of %s is granted twice", id, e.Thing)})
-			}
-			out[e.Thing][id] = permit{e.N, e.Until, e.Fence}
-			sum := int64(0)
-			for other, p := range out[e.Thing] {
-				if p.until < e.At {
-					delete(out[e.Thing], other)
-					continue
-				}
-				sum += p.n
-			}
-			if most, told := lines[e.Thing]; told && sum > most {
-				vs = append(vs, Violation{"permits", fmt.Sprintf("%s has %d lines, and %d are permitted once %s gave %d under %d", e.Thing, most, sum, e.Who(), e.N, e.Fence)})
-			}
-		case "returned":
-			delete(out[e.Thing], id)
-		}
-	}
-	return vs
-}
-
-// RecordOp is what a keeper's record of a number went through, as porcupine's model has it.
+// RecordOp is what is done to a number's record, as porcupine's model has it.
 type RecordOp struct {
-	What  string // "lines", "grant", "return", "expire"
+	What  string // "kept" by a new keeper, "granted" by it to a process, "permit" taken there
 	Fence uint64
-	ID    string
+	To    string
 	N     int64
 }
 
-// record is the model's state. Out is kept as text, so that states can be compared.
+// record is the model's state: the newest keeper's number, and what each process may still take, by the number under which it
+// was granted. It is kept as text, so that states can be compared.
 type record struct {
 	fence uint64
-	lines int64
-	sum   int64
-	out   string // the permits that are out, " id=n" each
+	left  string
 }
 
-// stepRecord is the model: a grant needs the highest fence that there was and room for it; a return or an end gives back
-// what is out, and nothing else.
+// stepRecord is the model. Only the newest keeper grants; a process takes what was granted to it, and no more.
 func stepRecord(s record, op RecordOp) (bool, record) {
-	mark := fmt.Sprintf(" %d/%s=%d;", op.Fence, op.ID, op.N)
 	switch op.What {
-	case "lines":
-		if op.Fence < s.fence {
+	case "kept":
+		if op.Fence <= s.fence {
 			return false, s
 		}
-		s.fence, s.lines = op.Fence, op.N
+		s.fence = op.Fence
 		return true, s
-	case "grant":
-		if op.Fence < s.fence || s.sum+op.N > s.lines || strings.Contains(s.out, mark) {
+	case "granted":
+		if op.Fence != s.fence {
 			return false, s
 		}
-		s.fence, s.sum, s.out = op.Fence, s.sum+op.N, s.out+mark
-		return true, s
 	}
-	if i := strings.Index(s.out, mark); i >= 0 {
-		s.sum, s.out = s.sum-op.N, s.out[:i]+s.out[i+len(mark):]
-		return true, s
+	mark := fmt.Sprintf(" %d/%s=", op.Fence, op.To)
+	before, rest, had := strings.Cut(s.left, mark)
+	n, after := int64(0), rest
+	if had {
+		var number string
+		number, after, _ = strings.Cut(rest, ";")
+		_, _ = fmt.Sscan(number, &n)
 	}
-	return op.What == "expire", s // what was returned has nothing left to run out
+	if op.What == "granted" {
+		n += op.N
+	} else if n -= op.N; n < 0 {
+		return false, s
+	}
+	s.left = before + after + mark + fmt.Sprint(n) + ";"
+	return true, s
 }
 
 var recordModel = porcupine.Model{
@@ -200,30 +162,21 @@
 	DescribeOperation: func(input, _ any) string { return fmt.Sprintf("%+v", input) },
 }
 
-// Records checks that the record of every number is linearizable: that there is one order of all that its keepers did, in
-// which each did what the record then allowed, whichever process had it. A return counts from when it was sent ("gave") to
-// when the keeper noted it ("returned"); what runs out does so at its time.
+// noteWithin is how much later than what it tells a note may have its time.
+const noteWithin = 2000 // microseconds
+
+// Records checks that the record of every number is linearizable: that there is one order of all that its keepers and those
+// who hold permits did, in which each did what the record then allowed.
 func Records(events []Event) []Violation {
-	ops, gave := map[string][]porcupine.Operation{}, map[string]int64{}
+	ops := map[string][]porcupine.Operation{}
 	clients := map[string]int{}
 	var things []string
 	for _, e := range of(events, "keeper") {
-		id := fmt.Sprint(e.Thing, " ", e.Fence, " ", e.Text)
-		op := RecordOp{What: e.What, Fence: e.Fence, ID: e.Text, N: e.N}
-		from := e.At
+		op := RecordOp{What: e.What, Fence: e.Fence, To: e.Process, N: e.N}
 		switch e.What {
-		case "lines":
-			op.ID = ""
-		case "permit":
-			op.What = "grant"
-		case "gave":
-			gave[id] = e.At
-			continue
-		case "returned":
-			op.What = "return"
-			if at, told := gave[id]; told {
-				from = min(from, at)
-			}
+		case "granted":
+			op.To = e.Text
+		case "kept", "permit":
 		default:
 			continue
 		}
@@ -233,18 +186,13 @@
 		if ops[e.Thing] == nil {
 			things = append(things, e.Thing)
 		}
-		ops[e.Thing] = append(ops[e.Thing], porcupine.Operation{ClientId: clients[e.Who()], Input: op, Call: from, Return: e.At})
-		if op.What == "grant" && e.Until > 0 {
-			end := op
-			end.What = "expire"
-			ops[e.Thing] = append(ops[e.Thing], porcupine.Operation{ClientId: 0, Input: end, Call: e.Until, Return: e.Until})
-		}
+		ops[e.Thing] = append(ops[e.Thing], porcupine.Operation{ClientId: clients[e.Who()], Input: op, Call: e.At - noteWithin, Return: e.At})
 	}
 	var vs []Violation
 	for _, thing := range things {
 		switch porcupine.CheckOperationsTimeout(recordModel, ops[thing], 20*time.Second) {
 		case porcupine.Illegal:
-			vs = append(vs, Violation{"record", fmt.Sprintf("no order of the %d operations on %s is one that a record allows", len(ops[thing]), thing)})
+			vs = append(vs, Violation{"record", fmt.Sprintf("no order of the %d operations on %s is one that its record allows", len(ops[thing]), thing)})
 		case porcupine.Unknown:
 			vs = append(vs, Violation{"record", fmt.Sprintf("whether the record of %s is linearizable was not decided in time", thing)})
 		}
--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -47,6 +47,8 @@
 	Site       string             // further sections of the site's file
 	Failpoints string             // of all members; see Process.Failpoints
 	Work       time.Duration      // of an office on a set-up; 0: 1 ms
+	Hold       time.Duration      // of a call that stands; 0: 10 ms
+	Lines      map[string]int     // of called numbers that have only so many
 	Offices    int                // 0: 4
 	Class      func(i int) string // further classes of an application; nil: none
 }
@@ -58,6 +60,7 @@
 	dir     string
 	Book    *standin.Book
 	History *History
+	Lines   *standin.Lines
 	Process []*Process
 	Office  []*standin.Office
 	links   map[[2]int]*Relay // by who sends and who is reached
@@ -136,10 +139,13 @@
 	if o.Roster == 0 {
 		o.Roster = min(5, (o.Members-1)|1)
 	}
-	f := &Fleet{Options: o, t: t, dir: t.TempDir(), Book: standin.NewBook(), History: NewHistory(), links: map[[2]int]*Relay{}}
+	if o.Hold == 0 {
+		o.Hold = 10 * time.Millisecond
+	}
+	f := &Fleet{Options: o, Lines: standin.NewLines(o.Lines), t: t, dir: t.TempDir(), Book: standin.NewBook(), History: NewHistory(), links: map[[2]int]*Relay{}}
 	t.Cleanup(f.close)
 	for i := range o.Offices {
-		office, err := standin.NewOffice(fmt.Sprintf("office-%d", i), "127.0.0.1:0", f.Book, standin.Script{Work: o.Work, Queue: time.Second})
+		office, err := standin.NewOffice(fmt.Sprintf("office-%d", i), "127.0.0.1:0", f.Book, standin.Script{Work: o.Work, Queue: time.Second, Lines: f.Lines})
 		f.must(err)
 		f.Office = append(f.Office, office)
 	}
@@ -165,7 +171,7 @@
 		front, err := NewStreams("callers>"+p.Name, p.Settings.Application.Listener.String(), o.Seed)
 		f.must(err)
 		p.Front = front
-		p.Caller = standin.NewRoamer(front.Address, f.Book, 10*time.Millisecond)
+		p.Caller = standin.NewRoamer(front.Address, f.Book, o.Hold)
 	}
 	return f
 }
--- a/internal/fleettest/schedule.go
+++ b/internal/fleettest/schedule.go
@@ -186,8 +186,9 @@
 	return c.Answered + c.Refused + c.Failed
 }
 
-// Offer has every member's caller set up calls at a rate a second each, until the function that it returns is called.
-func (f *Fleet) Offer(rate float64) (stop func()) {
+// Offer has every member's caller set up calls at a rate a second each, to numbers called once or to the one that is given,
+// until the function that it returns is called.
+func (f *Fleet) Offer(rate float64, number ...string) (stop func()) {
 	done := make(chan struct{})
 	ends := make(chan struct{}, len(f.Process))
 	for _, p := range f.Process {
@@ -200,7 +201,7 @@
 				case <-done:
 					return
 				case <-tick.C:
-					p.Caller.Call("sale", "", 3*time.Second)
+					p.Caller.Call("sale", strings.Join(number, ""), 3*time.Second)
 				}
 			}
 		}()
--- a/internal/standin/office.go
+++ b/internal/standin/office.go
@@ -32,6 +32,7 @@
 	// Bound, if it is not 0, is the cause with which the office refuses a set-up whose state it keeps on another connection
 	// than that on which the set-up comes. Each such set-up, and each such end of a call, is harmed (Book.Harmed).
 	Bound byte
+	Lines *Lines // of called numbers; nil: they have any
 }
 
 // Bound is what a cold office bears.
@@ -150,6 +151,7 @@
 		o.ties.Forget(p)
 		o.mu.Unlock()
 		for call := range out {
+			o.lines().end(call)
 			o.book.over(call, o.Name, true)
 		}
 	}()
@@ -160,11 +162,18 @@
 		}
 		switch m.Type {
 		case wire.TypeSetUp:
+			if number, _ := m.Get(wire.ParamNumber); !o.lines().take(string(number), m.Call) {
+				if o.engaged(p, m.Call) != nil {
+					return
+				}
+				continue
+			}
 			description, _ := m.Get(wire.ParamDescription)
 			if !o.setUp(p, m.Call, string(description), out) {
 				return
 			}
 		case wire.TypeRelease:
+			o.lines().end(m.Call)
 			o.mu.Lock()
 			stood := o.standing[m.Call]
 			delete(o.standing, m.Call)
