--- a/internal/member/parts.go
+++ b/internal/member/parts.go
@@ -188,17 +188,28 @@
 	return true
 }
 
-// stageRules are the rules of changes. A build for tests may have them in less time, as by stage=0.05 in a twentieth; figures are compared
-// over two windows at least, all the same.
+// stageRules are the rules of changes. A build for tests may have them in less time, as by stage=0.05 in a twentieth, with figures
+// compared over two windows at least, and with wider margins, as by stage-margins=20 for so many times as wide: a machine that
+// does other work besides makes a few processes differ by more than a fleet does.
 func stageRules() stage.Rules {
-	if failpoint.Enabled {
-		if by, err := parseFactor(failpoint.Value("stage")); err == nil {
-			const second, usualWindow = 1e6, 1e6 // figures come by windows of a second
-			t := func(s float64) int64 { return int64(s * second * by) }
-			return stage.Rules{Baseline: t(120), Warm: t(30), Slot: max(t(10), 3*usualWindow), Look: max(t(60), 6*usualWindow), Most: max(t(600), 30*usualWindow), Patience: max(t(60), 10*second)}
+	var r stage.Rules
+	if !failpoint.Enabled {
+		return r
+	}
+	if by, err := parseFactor(failpoint.Value("stage")); err == nil {
+		const second = 1e6
+		t := func(s float64) int64 { return int64(s * second * by) }
+		r = stage.Rules{Baseline: t(120), Warm: t(30), Slot: max(t(10), 2*second), Look: max(t(60), 4*second), Most: t(600), Patience: t(60),
+			Lost: t(20), Ask: max(t(30), 15*second), Repeat: max(t(1), second/5)}
+	}
+	if by, err := parseFactor(failpoint.Value("stage-margins")); err == nil {
+		m := &r.Margins
+		*m = stage.Rules{}.Whole().Margins
+		for _, x := range []*float64{&m.Worth, &m.Refused, &m.Failed, &m.Late, &m.Wait, &m.CPU, &m.Memory, &m.Growth} {
+			*x *= by
 		}
 	}
-	return stage.Rules{}
+	return r
 }
 
 func parseFactor(text string) (float64, error) { return strconv.ParseFloat(text, 64) }
