A fleet that was ended by its test is not ended again at the test's end

The test that plants a wait ended its fleets by itself, and its clean-up then waited for processes that were gone, for ten minutes.

--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -191,6 +191,7 @@
 		if p.running {
 			_ = p.cmd.Process.Kill()
 			<-p.ended
+			p.running = false
 		}
 		if f.t.Failed() && p.log != nil {
 			f.t.Logf("the end of the log of %s:\n%s", p.Name, p.log.end(25))
