--- a/internal/fleettest/relay.go
+++ b/internal/fleettest/relay.go
@@ -24,7 +24,6 @@
 // Direction is one way between two processes, or between a process and one of its offices or callers.
 type Direction struct {
 	Name string
-	seed uint64
 
 	mu     sync.Mutex
 	faults Faults
