--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -248,7 +248,7 @@
 	if f := s.Fleet; f.Cluster != "lisboa" || f.RosterNumber != 7 || !slices.Equal(f.Roster, []string{"c", "a", "b"}) || f.Lease != 2e6 || f.Drift != 0.01 {
 		t.Errorf("the fleet is %+v", f)
 	}
-	if s.Keepers.Numbers != 64 || s.Keepers.Share != 0.05 || s.Pooling.Mode != "on" || s.Pooling.Unsafe != 0.0001 {
+	if s.Keepers.Numbers != 16 || s.Keepers.Share != 0.05 || s.Pooling.Mode != "on" || s.Pooling.Unsafe != 0.0001 {
 		t.Errorf("%+v, %+v", s.Keepers, s.Pooling)
 	}
 	is := with(strings.NewReplacer("20103", "20104", "number = 7", "number = 8", "c, a, b", "a, b, c, d, e").Replace(fleet) +
--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -112,7 +112,7 @@
 		{Key: "program", Type: Path, Optional: true, Reload: true, Doc: "the new program's file"},
 	}},
 	{Kind: "keepers", Owner: OfSite, Absent: true, Doc: "keepers of called numbers that run out of lines", Settings: []Setting{
-		{Key: "numbers", Type: Count, Default: "64", Min: 1, Max: 4096, Doc: "numbers that one member keeps at the most"},
+		{Key: "numbers", Type: Count, Default: "16", Min: 1, Max: 16, Doc: "numbers that one member keeps at the most"},
 		{Key: "share", Type: Part, Default: "5%", Max: 1, Doc: "calls to a kept number that go without a permit while its keeper cannot be reached"},
 	}},
 	{Kind: "pooling", Owner: OfSite, Absent: true, Doc: "connections to hosts by what callers' sessions were observed to need", Settings: []Setting{
