Let tests of keepers and streams hold whoever keeps a number, and whatever order threads run in

Seen on a busy machine: TestKeepersUnderFaults stopped a process that had given the number up meanwhile, as one that is next in a change does, and waited for another keeper; TestStreams saw a connect before it had met the cut. The first now takes the newest keeper, and counts a move after its keeping; the relay reads its faults before the connect is seen.

--- a/internal/fleettest/parts_test.go
+++ b/internal/fleettest/parts_test.go
@@ -126,13 +126,13 @@
 		t.Helper()
 		f.Until("permits are taken", func() bool { _, ok := f.since(after, "keeper", "permit"); return ok })
 	}
-	other := func(than int) Event {
+	// other waits until another one keeps it than the keeper of an event: after that event, for it may have moved by itself meanwhile.
+	other := func(than Event) Event {
 		t.Helper()
-		at := Clock()
 		var e Event
 		f.Until("another keeps it", func() bool {
 			for _, e = range f.History.Events() {
-				if e.At > at && e.What == "kept" && e.Process != f.Process[than].Name {
+				if e.At > than.At && e.What == "kept" && e.Process != than.Process {
 					return true
 				}
 			}
@@ -141,15 +141,26 @@
 		taken(e.At)
 		return e
 	}
+	// newest is the last event of its keeping, and so who keeps it now.
+	newest := func() Event {
+		e := kept
+		for _, x := range f.History.Events() {
+			if x.What == "kept" && x.At > e.At {
+				e = x
+			}
+		}
+		return e
+	}
 	taken(kept.At)
 	who := f.named(kept.Process).Index
 	lesser := []int{who, (who + 1) % f.Members}
 	f.Cut(lesser, f.rest(lesser...), true, true)
-	next := other(who)
+	next := other(kept)
 	f.Each(Faults{})
 	f.Agree("after the cut")
+	next = newest()
 	f.named(next.Process).Kill()
-	next = other(f.named(next.Process).Index)
+	other(next)
 	for _, p := range f.Process {
 		if !p.running {
 			p.Start()
@@ -159,8 +170,9 @@
 	at := Clock()
 	f.propose(0, 1, "spill-return = 5%", "spill-return = 6%")
 	f.next(at, "stage", "tells")
+	next = newest()
 	f.named(next.Process).Signal(syscall.SIGSTOP)
-	other(f.named(next.Process).Index)
+	other(next)
 	f.named(next.Process).Signal(syscall.SIGCONT)
 	stop()
 	ordinary()
--- a/internal/fleettest/relay.go
+++ b/internal/fleettest/relay.go
@@ -344,13 +344,14 @@
 
 // stream passes one TCP connection on, both ways, until either way ends.
 func (r *Relay) stream(in net.Conn) {
+	// First, so that a connect which is seen to have come has met what there was then.
+	f, change := r.To.now()
+	g, other := r.Back.now()
 	if !r.keep(in) {
 		return
 	}
 	reset := false
 	defer func() { r.drop(in, reset) }()
-	f, change := r.To.now()
-	g, other := r.Back.now()
 	if f.Cut || g.Cut { // a connect needs both ways; who asked hears nothing, and it has come to nothing by the end of the cut
 		select {
 		case <-change:
