--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -51,6 +51,7 @@
 	Lines      map[string]int     // of called numbers that have only so many
 	Offices    int                // 0: 4
 	Class      func(i int) string // further classes of an application; nil: none
+	App        string             // the application that all members serve; empty: each one of its own, named after it
 }
 
 // Fleet is several processes, their offices and callers, and the relays between all of them.
@@ -261,8 +262,12 @@
 		p.Settings.Application.Listener, p.Settings.Application.Control = addr(free()), addr(free())
 	}
 	a := p.Settings.Application
+	name := p.Name
+	if p.f.App != "" {
+		name = p.f.App
+	}
 	text := fmt.Sprintf("[application]\nname = %s\nlistener = %s\ncontrol = %s\nshare = %d%%\n[class sale]\naim = 800ms\ndeadline = 3s\neffect = free\npools = core\nrate = %d/s\n",
-		p.Name, a.Listener, a.Control, 100/p.f.Members, int(0.5*float64(len(p.f.Office))*float64(time.Second/p.f.Work))/p.f.Members)
+		name, a.Listener, a.Control, 100/p.f.Members, int(0.5*float64(len(p.f.Office))*float64(time.Second/p.f.Work))/p.f.Members)
 	if p.f.Class != nil {
 		text += p.f.Class(p.Index)
 	}
@@ -275,7 +280,7 @@
 	if err != nil {
 		return fmt.Errorf("%v %w", r.Findings, err)
 	}
-	p.Settings, p.path = s, filepath.Join(p.f.dir, written[0].Name)
+	p.Settings, p.path = s, filepath.Join(p.f.dir, p.Name+"-"+written[0].Name)
 	if err := os.WriteFile(p.path+".new", written[0].Text, 0o600); err != nil {
 		return err
 	}
--- a/internal/fleettest/relay.go
+++ b/internal/fleettest/relay.go
@@ -202,6 +202,7 @@
 type Relay struct {
 	To, Back *Direction
 	Address  string // where it listens
+	From     string // the address that targets see streams come from; empty: the usual one
 
 	packets *net.UDPConn
 	streams *net.TCPListener
@@ -364,7 +365,11 @@
 	if target == nil {
 		return
 	}
-	out, err := net.DialTimeout("tcp4", target.String(), 5*time.Second)
+	dial := net.Dialer{Timeout: 5 * time.Second}
+	if r.From != "" {
+		dial.LocalAddr = &net.TCPAddr{IP: net.ParseIP(r.From)}
+	}
+	out, err := dial.Dial("tcp4", target.String())
 	if err != nil {
 		reset = true
 		return
--- a/internal/member/fail.go
+++ b/internal/member/fail.go
@@ -10,3 +10,5 @@
 func (*together) failParts() []fleet.Part { return nil }
 
 func doctored(c lease.Config) lease.Config { return c }
+
+func unsafe(part float64) float64 { return part }
--- a/internal/member/fail_on.go
+++ b/internal/member/fail_on.go
@@ -32,3 +32,11 @@
 	}
 	return c
 }
+
+// unsafe is the part of unsafe clients that may be raised, as by pooling-unsafe=0.2: a verdict that loose comes within seconds.
+func unsafe(part float64) float64 {
+	if by, err := parseFactor(failpoint.Value("pooling-unsafe")); err == nil {
+		return by
+	}
+	return part
+}
--- a/internal/member/parts.go
+++ b/internal/member/parts.go
@@ -49,7 +49,7 @@
 		}
 	}
 	if t.pools != nil {
-		p, err := pooling.New(pooling.Config{Self: t.member.Name, Seed: life, Loop: t.pools, Unsafe: t.base.Pooling.Unsafe, Watch: t.base.Pooling.Mode == "watch",
+		p, err := pooling.New(pooling.Config{Self: t.member.Name, Seed: life, Loop: t.pools, Unsafe: unsafe(t.base.Pooling.Unsafe), Watch: t.base.Pooling.Mode == "watch",
 			Complain: func(err error) { t.log.Warn("pooling", "error", err, advice.Attr(err)) }})
 		if err != nil {
 			t.log.Error("no sessions are observed", "error", err, advice.Attr(err))
