--- a/internal/lease/wire.go
+++ b/internal/lease/wire.go
@@ -145,8 +145,6 @@
 		why = "a number out of bounds"
 	case len(b.Forgot) > maxForgot:
 		why = "a list that is too long"
-	case len(b.Forgot) > maxForgot:
-		why = "a list that is too long"
 	case b.Write > 0 && b.RecFence == 0, b.Write == 0 && len(b.Value) > 0:
 		why = "half a record"
 	case (b.Type == typClaim || b.Type == typHold) && (b.Fence == 0 || b.Roster == 0):
