Say that a change waits where a process has just started, and nothing where it runs

Seen: SIGHUP within a second of the start dropped the change in silence, for the parts are made only then; and each reading of the file while its change ran was logged as an error. The first is a warning with what to do now, the second nothing.

--- a/internal/member/parts.go
+++ b/internal/member/parts.go
@@ -76,8 +76,11 @@
 
 // told hands a file that was read anew to the parts: its roster, and the change that it names.
 func (t *together) told(now int64, s config.Sidecar, out *fleet.Out) {
-	if t.lessor == nil {
-		return // the parts are made from the file that was read last
+	if t.lessor == nil { // the parts are made from the file that was read last
+		if s.Change != nil && s.Change.Number > t.runningNow().Change {
+			t.log.Warn("a change waits for the next SIGHUP: this process has just started", "change", s.Change.Number)
+		}
+		return
 	}
 	if err := t.lessor.SetRoster(now, s.Fleet.RosterNumber, s.Fleet.Roster); err != nil {
 		t.log.Error("the roster stays", "number", s.Fleet.RosterNumber, "error", err, advice.Attr(err))
@@ -90,6 +93,10 @@
 	if err == nil {
 		err = t.stage.Propose(now, target, out)
 	}
+	var runs *stage.RunningError
+	if errors.As(err, &runs) && runs.Running == s.Change.Number {
+		return // the file was read anew while its change goes its way, or by it
+	}
 	if err != nil {
 		t.log.Error("the change is not begun", "change", s.Change.Number, "error", err, advice.Attr(err))
 		return
