Hold keepers' grants against the lines they know, what each holds and what is not told

The check of a number's record saw fences and permits, but not whether more was granted than there was: keepers noted neither the lines that they grant against nor what they count by.

Keepers note lines, what an earlier keeper may have granted, and what each process is counted with, one note a change, and a process what it tells. A grant's note tells what is given by it alone; before, an answer that was said again noted its permits again. The model refuses a grant over the lines, a count below the word of the one who holds, a count dropped too early, and a move that forgets what the old keeper granted. The failpoint keeper-over has a keeper grant one line more than there is.

Eleven hand-made histories, a virtual world of 8 processes with 2% of messages lost, and the keepers' test with real processes pass; the planted keeper is caught at its grant: 4 held and 0 not known of 4 lines.

--- a/internal/fleettest/checks.go
+++ b/internal/fleettest/checks.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"reflect"
 	"slices"
 	"strings"
 	"time"
@@ -109,52 +111,140 @@
 
 // RecordOp is what is done to a number's record, as porcupine's model has it.
 type RecordOp struct {
-	What  string // "kept" by a new keeper, "granted" by it to a process, "permit" taken there
+	What  string // as the notes have it; "dead" is the end of a process
 	Fence uint64
 	To    string
 	N     int64
+	At    int64 // microseconds
+	thing string
 }
 
-// record is the model's state: the newest keeper's number, and what each process may still take, by the number under which it
-// was granted. It is kept as text, so that states can be compared.
+const (
+	// The next keeper answers for what the last one granted for as long as a permit lives, 2 s; less what its note may be late.
+	answersFor = 1_500_000
+	// What a process is counted with that says nothing counts for 30 s, less the same.
+	countsFor = 29_000_000
+	// What the keeper before the last granted is in the last one's record for 30 s; less its writes.
+	answersLong = 25_000_000
+	earlierLife = " before"
+	// Words of a process that its keeper may have passed over are remembered, so many of them.
+	mostTold = 64
+)
+
+// record is the model's state: the newest keeper's number, what each process may still take, by the number under which it
+// was granted, what its keeper counts each with, and what these told. It is never changed, but copied.
 type record struct {
-	fence uint64
-	left  string
+	fence          uint64
+	kept           int64 // when
+	lines, unknown int64 // as the keeper noted
+	counts         bool  // it notes what it counts with: histories of earlier versions do not
+	most, met      int64 // lines of the keeper before, and what those held that have reported to this one, as they first did
+	left           map[string]int64
+	with           map[string]int64   // counted by this keeper
+	since          map[string]int64   // when that last changed
+	old            map[string]int64   // counted by the one before, of those that have not reported
+	told           map[string][]int64 // by number and process, from the one last counted on
+}
+
+func (s record) copied() record {
+	s.left, s.with, s.since, s.old, s.told = maps.Clone(s.left), maps.Clone(s.with), maps.Clone(s.since), maps.Clone(s.old), maps.Clone(s.told)
+	return s
 }
 
-// stepRecord is the model. Only the newest keeper grants; a process takes what was granted to it, and no more.
+// sum is the lines of all processes in a count.
+func sum(m map[string]int64) (n int64) {
+	for _, v := range m {
+		n += v
+	}
+	return n
+}
+
+// stepRecord is the model. Only the newest keeper grants, and no more than the lines that it knows, less what it counts each
+// process with and what the keeper before may have granted; it counts a process with no less than that has told since; a
+// process takes what was granted to it, and no more.
 func stepRecord(s record, op RecordOp) (bool, record) {
+	by := fmt.Sprintf("%d/%s", op.Fence, op.To)
+	s = s.copied()
 	switch op.What {
 	case "kept":
 		if op.Fence <= s.fence {
 			return false, s
 		}
-		s.fence = op.Fence
-		return true, s
+		s.most, s.met = min(s.lines, sum(s.with)), 0
+		if op.At >= s.kept+answersLong {
+			clear(s.old)
+		}
+		for who, n := range s.with { // what an earlier one granted stands until its receiver tells
+			if !strings.HasSuffix(who, earlierLife) {
+				s.old[who] = max(s.old[who], n)
+			}
+		}
+		s.fence, s.kept, s.lines, s.unknown, s.counts = op.Fence, op.At, op.N, 0, false
+		s.with, s.since = map[string]int64{}, map[string]int64{}
+	case "told":
+		t := append(slices.Clone(s.told[by]), op.N)
+		s.told[by] = t[max(0, len(t)-mostTold):]
+	case "dead":
+		delete(s.old, op.To)
+	case "permit":
+		if s.left[by] -= op.N; s.left[by] < 0 {
+			return false, s
+		}
 	case "granted":
 		if op.Fence != s.fence {
 			return false, s
 		}
+		s.left[by] += op.N
+		s.with[op.To] += op.N
+		s.since[op.To] = op.At
+		if !s.counts {
+			return true, s
+		}
+		if sum(s.with)+s.unknown > s.lines {
+			return false, s
+		}
+		// Whatever the keeper noted as not known, it is no less than what is.
+		if op.At < s.kept+answersFor && s.unknown < min(sum(s.old), s.most-s.met) {
+			return false, s
+		}
 	}
-	mark := fmt.Sprintf(" %d/%s=", op.Fence, op.To)
-	before, rest, had := strings.Cut(s.left, mark)
-	n, after := int64(0), rest
-	if had {
-		var number string
-		number, after, _ = strings.Cut(rest, ";")
-		_, _ = fmt.Sscan(number, &n)
+	if op.Fence != s.fence { // what an earlier keeper counts is of no account any more
+		return true, s
 	}
-	if op.What == "granted" {
-		n += op.N
-	} else if n -= op.N; n < 0 {
-		return false, s
+	switch op.What {
+	case "lines":
+		s.lines, s.counts = op.N, true
+	case "unknown":
+		s.unknown, s.counts = op.N, true
+	case "met", "holds":
+		at := slices.Index(s.told[by], op.N)
+		if at < 0 {
+			return false, s
+		}
+		s.told[by] = s.told[by][at:]
+		s.with[op.To], s.since[op.To] = op.N, op.At
+		if op.What == "met" {
+			s.met += op.N
+			delete(s.old, op.To)
+		}
+	case "gone", "before":
+		to := op.To
+		if op.What == "before" {
+			to += earlierLife
+		}
+		if op.N < s.with[to] && op.At < s.since[to]+countsFor {
+			return false, s
+		}
+		s.with[to], s.since[to] = op.N, op.At
 	}
-	s.left = before + after + mark + fmt.Sprint(n) + ";"
 	return true, s
 }
 
 var recordModel = porcupine.Model{
-	Init: func() any { return record{} },
+	Init: func() any {
+		return record{left: map[string]int64{}, with: map[string]int64{}, since: map[string]int64{}, old: map[string]int64{}, told: map[string][]int64{}}
+	},
+	Equal: func(a, b any) bool { return reflect.DeepEqual(a, b) },
 	Step: func(state, input, _ any) (bool, any) {
 		ok, next := stepRecord(state.(record), input.(RecordOp))
 		return ok, next
@@ -170,29 +260,42 @@
 func Records(events []Event) []Violation {
 	ops := map[string][]porcupine.Operation{}
 	clients := map[string]int{}
+	last := map[string]int64{} // of each life, in nanoseconds: what it noted has the order in which it did
 	var things []string
+	add := func(e Event, op RecordOp) {
+		if clients[e.Who()] == 0 {
+			clients[e.Who()] = len(clients) + 1
+		}
+		if ops[op.thing] == nil {
+			things = append(things, op.thing)
+		}
+		from := max(1000*(e.At-noteWithin), last[e.Who()]+1)
+		to := max(1000*e.At, from+1)
+		last[e.Who()] = to
+		ops[op.thing] = append(ops[op.thing], porcupine.Operation{ClientId: clients[e.Who()], Input: op, Call: from, Return: to})
+	}
 	for _, e := range of(events, "keeper") {
-		op := RecordOp{What: e.What, Fence: e.Fence, To: e.Process, N: e.N}
+		op := RecordOp{What: e.What, Fence: e.Fence, To: e.Process, N: e.N, At: e.At, thing: e.Thing}
 		switch e.What {
-		case "granted":
+		case "granted", "met", "holds", "gone", "before":
 			op.To = e.Text
-		case "kept", "permit":
+		case "kept", "permit", "lines", "unknown", "told":
 		default:
+			if over(e) {
+				for _, thing := range things {
+					add(e, RecordOp{What: "dead", To: e.Process, At: e.At, thing: thing})
+				}
+			}
 			continue
 		}
-		if clients[e.Who()] == 0 {
-			clients[e.Who()] = len(clients) + 1
-		}
-		if ops[e.Thing] == nil {
-			things = append(things, e.Thing)
-		}
-		ops[e.Thing] = append(ops[e.Thing], porcupine.Operation{ClientId: clients[e.Who()], Input: op, Call: e.At - noteWithin, Return: e.At})
+		add(e, op)
 	}
 	var vs []Violation
 	for _, thing := range things {
 		switch porcupine.CheckOperationsTimeout(recordModel, ops[thing], 20*time.Second) {
 		case porcupine.Illegal:
-			vs = append(vs, Violation{"record", fmt.Sprintf("no order of the %d operations on %s is one that its record allows", len(ops[thing]), thing)})
+			vs = append(vs, Violation{"record", fmt.Sprintf("no order of the %d operations on %s is one that its record allows%s", len(ops[thing]), thing,
+				firstRefused(ops[thing]))})
 		case porcupine.Unknown:
 			vs = append(vs, Violation{"record", fmt.Sprintf("whether the record of %s is linearizable was not decided in time", thing)})
 		}
@@ -200,6 +303,21 @@
 	return vs
 }
 
+// firstRefused tells which operation, in the order in which they were noted, is the first that the record does not allow.
+func firstRefused(ops []porcupine.Operation) string {
+	s := recordModel.Init().(record)
+	for _, o := range ops {
+		op := o.Input.(RecordOp)
+		ok, next := stepRecord(s, op)
+		if !ok {
+			return fmt.Sprintf(": as noted, it refuses %q of %d for %s under %d, with %d held and %d not known of %d lines", op.What, op.N, op.To, op.Fence,
+				sum(s.with), s.unknown, s.lines)
+		}
+		s = next
+	}
+	return ""
+}
+
 // stageNames are those that a conductor's note names, in order.
 var stageNames = []string{"one", "twentieth", "quarter", "all"}
 
--- a/internal/fleettest/checks_test.go
+++ b/internal/fleettest/checks_test.go
@@ -1,9 +1,12 @@
 package fleettest
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
+
+	"pewterwheel/internal/fleetsim/keepers"
 )
 
 // parse makes events of lines "MS PROCESS KIND WHAT THING fence=N until=MS n=N text=WORDS", with _ for each space
@@ -119,6 +122,92 @@
 			20 k keeper granted n/1 fence=1 n=3 text=p
 			30 p keeper permit n/1 fence=1 n=3
 			40 p keeper permit n/1 fence=1 n=3`, "record: no order of the 4 operations"},
+		"lines granted, given back, and granted again": {`
+			10 k keeper kept n/1 fence=1 n=4
+			11 k keeper lines n/1 fence=1 n=4
+			11 k keeper unknown n/1 fence=1 n=0
+			20 k keeper granted n/1 fence=1 n=4 text=p
+			21 p keeper permit n/1 fence=1 n=4
+			30 p keeper told n/1 fence=1 n=3
+			31 k keeper holds n/1 fence=1 n=3 text=p
+			32 k keeper granted n/1 fence=1 n=1 text=q
+			40 k keeper lines n/1 fence=1 n=2
+			41 p keeper told n/1 fence=1 n=0
+			42 k keeper holds n/1 fence=1 n=0 text=p
+			43 k keeper granted n/1 fence=1 n=1 text=p`, ""},
+		"one line too many": {`
+			10 k keeper kept n/1 fence=1 n=4
+			11 k keeper lines n/1 fence=1 n=4
+			20 k keeper granted n/1 fence=1 n=3 text=p
+			32 k keeper granted n/1 fence=1 n=2 text=q`, "record: no order of the 4 operations on n/1"},
+		"one line too many, as there are fewer by now": {`
+			10 k keeper kept n/1 fence=1 n=4
+			11 k keeper lines n/1 fence=1 n=4
+			20 k keeper granted n/1 fence=1 n=3 text=p
+			21 k keeper lines n/1 fence=1 n=3
+			21 k keeper granted n/1 fence=1 n=1 text=q`, "record: no order of the 5 operations on n/1"},
+		"one line too many beside what is not known": {`
+			10 l keeper kept n/1 fence=2 n=4
+			11 l keeper lines n/1 fence=2 n=4
+			12 l keeper unknown n/1 fence=2 n=2
+			20 l keeper granted n/1 fence=2 n=3 text=p`, "record: no order of the 4 operations on n/1"},
+		"a return counted twice": {`
+			10 k keeper kept n/1 fence=1 n=4
+			11 k keeper lines n/1 fence=1 n=4
+			20 k keeper granted n/1 fence=1 n=4 text=p
+			21 p keeper permit n/1 fence=1 n=4
+			30 p keeper told n/1 fence=1 n=3
+			31 k keeper holds n/1 fence=1 n=3 text=p
+			41 k keeper holds n/1 fence=1 n=2 text=p`, "record: no order of the 7 operations on n/1"},
+		"a return counted that was taken back": {`
+			10 k keeper kept n/1 fence=1 n=4
+			11 k keeper lines n/1 fence=1 n=4
+			20 k keeper granted n/1 fence=1 n=4 text=p
+			30 p keeper told n/1 fence=1 n=2
+			35 p keeper told n/1 fence=1 n=4
+			41 k keeper holds n/1 fence=1 n=4 text=p
+			42 k keeper holds n/1 fence=1 n=2 text=p
+			52 p keeper told n/1 fence=1 n=3
+			55 k keeper holds n/1 fence=1 n=2 text=p`, "record: no order of the 9 operations on n/1"},
+		"given up for gone too early": {`
+			10 k keeper kept n/1 fence=1 n=4
+			11 k keeper lines n/1 fence=1 n=4
+			20 k keeper granted n/1 fence=1 n=4 text=p
+			20020 k keeper gone n/1 fence=1 n=0 text=p
+			20021 k keeper granted n/1 fence=1 n=4 text=q`, "record: no order of the 5 operations on n/1"},
+		"given up for gone": {`
+			10 k keeper kept n/1 fence=1 n=4
+			11 k keeper lines n/1 fence=1 n=4
+			20 k keeper granted n/1 fence=1 n=4 text=p
+			30030 k keeper gone n/1 fence=1 n=0 text=p
+			30031 k keeper granted n/1 fence=1 n=4 text=q`, ""},
+		"a move, and each tells what it holds": {`
+			10 k keeper kept n/1 fence=1 n=4
+			11 k keeper lines n/1 fence=1 n=4
+			20 k keeper granted n/1 fence=1 n=3 text=p
+			30 l keeper kept n/1 fence=2 n=4
+			31 l keeper lines n/1 fence=2 n=4
+			32 l keeper unknown n/1 fence=2 n=3
+			33 l keeper granted n/1 fence=2 n=1 text=q
+			34 k keeper lines n/1 fence=1 n=9
+			40 p keeper told n/1 fence=2 n=1
+			41 l keeper met n/1 fence=2 n=1 text=p
+			42 l keeper unknown n/1 fence=2 n=0
+			43 l keeper granted n/1 fence=2 n=2 text=q`, ""},
+		"a move that forgets what the old keeper granted": {`
+			10 k keeper kept n/1 fence=1 n=4
+			11 k keeper lines n/1 fence=1 n=4
+			20 k keeper granted n/1 fence=1 n=3 text=p
+			30 l keeper kept n/1 fence=2 n=4
+			31 l keeper lines n/1 fence=2 n=4
+			32 l keeper unknown n/1 fence=2 n=0
+			33 l keeper granted n/1 fence=2 n=2 text=q`, "record: no order of the 7 operations on n/1"},
+		"an old keeper grants what is free": {`
+			10 k keeper kept n/1 fence=1 n=4
+			11 k keeper lines n/1 fence=1 n=4
+			30 l keeper kept n/1 fence=2 n=4
+			31 l keeper lines n/1 fence=2 n=4
+			40 k keeper granted n/1 fence=1 n=1 text=p`, "record: no order of the 5 operations on n/1"},
 		"stages in order, taken up by the next": {`
 			1 a stage opened change fence=1 n=7
 			1 a stage stage change fence=1 n=0
@@ -260,3 +349,27 @@
 		must(t, len(vs) == 1 && strings.Contains(vs[0].String(), want), more, vs)
 	}
 }
+
+// Records of the keepers' world in virtual time, with messages lost: a history of some thousand notes that is as it should be,
+// and the same with one note of a grant that says one more.
+func TestRecordsOfWorld(t *testing.T) {
+	w := keepers.New(keepers.Config{Seed: 5, Processes: 8, Numbers: 1, Lines: 10, Demand: 10, Stands: 3_000_000, Exchange: 20_000, Delay: 600,
+		Gossip: 200_000, Skew: 1, Loss: 0.02})
+	w.Run(40_000_000)
+	var events []Event
+	for _, n := range w.Counts.Notes {
+		events = append(events, Event{At: n.At, Process: n.Proc, Life: 1, Kind: "keeper", What: n.What, Thing: n.Thing, Fence: n.Fence, Until: n.Until,
+			N: n.N, Text: n.Text})
+	}
+	must(t, len(events) > 200, "there are but", len(events), "notes")
+	for _, v := range Records(events) {
+		t.Error(v)
+	}
+	for i := range slices.Backward(events) {
+		if events[i].What == "granted" {
+			events[i].N += 10
+			break
+		}
+	}
+	must(t, len(Records(events)) == 1, "one grant of ten more was not found")
+}
--- a/internal/fleettest/planted_test.go
+++ b/internal/fleettest/planted_test.go
@@ -4,6 +4,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // Processes that were made worse on purpose: each fault is caught, by the check that is there for it.
@@ -104,3 +105,22 @@
 		return false
 	})
 }
+
+// A keeper that grants a line more than there is: by its own notes of what it grants against.
+func TestPlantedKeeper(t *testing.T) {
+	t.Parallel()
+	f := New(t, Options{Program: program(t), Members: 5, Seed: *seed, Site: "[keepers]\nnumbers = 16\n", Lines: map[string]int{"n/hot": 4},
+		Hold: 300 * time.Millisecond, Failpoints: "keeper-over"})
+	f.StartAll()
+	stop := f.Offer(15, "n/hot")
+	f.Until("lines are granted", func() bool { return f.History.Count("keeper", "granted") >= 20 })
+	stop()
+	vs := f.Judge()
+	for _, v := range vs {
+		if v.Check == "record" && strings.Contains(v.Text, `it refuses "granted"`) && strings.Contains(v.Text, "4 held and 0 not known of 4 lines") {
+			t.Log(v)
+			return
+		}
+	}
+	t.Errorf("%d violations, none of the record:\n%s", len(vs), Report(vs, f.History.Events()))
+}
--- a/internal/keeper/book.go
+++ b/internal/keeper/book.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 
+	"pewterwheel/internal/fleet"
 	"pewterwheel/internal/lease"
 )
 
@@ -48,15 +49,21 @@
 	wanted  int64   // when it last wanted a line
 	turn    float64 // grants had for its part of the demand: who has the least is served first
 	rate    float64 // its demand over a minute, which says whether the number should move
+	noted   int64   // lines that it is counted with, by the notes; before: those of an earlier life
+	before  int64
 }
 
 // holds is the lines that a process may hold: what it told, and what it was given since.
 func (p *peer) holds(now int64) int64 {
-	n := p.it.Hold + p.granted
+	return p.it.Hold + p.granted + p.earlier(now)
+}
+
+// earlier is the lines of an earlier life of it that count yet.
+func (p *peer) earlier(now int64) int64 {
 	if now < p.laid {
-		n += p.ghost
+		return p.ghost
 	}
-	return n
+	return 0
 }
 
 // book is the authoritative record of one number, at its keeper.
@@ -106,11 +113,14 @@
 	leave   int64  // when it is given up at the latest; 0: it is not
 
 	doubts uint64 // permits that were not given because the lease ends too soon
+
+	notes                    []fleet.Note // not handed out yet
+	notedLines, notedUnknown int64        // as last noted; -1: never
 }
 
 func newBook(cfg *Config, key, thing string, now int64, g lease.Grant) (*book, error) {
 	b := &book{cfg: cfg, key: key, thing: thing, fence: g.Fence, begun: now, lines: firstLines, slow: true, counts: now, unmet: now, step: 1,
-		pause: probeFirst, dirty: true}
+		pause: probeFirst, dirty: true, notedLines: -1, notedUnknown: -1}
 	r, err := readRecord(key, g.Value)
 	if r.Lines > 0 {
 		b.slow = false
@@ -171,15 +181,58 @@
 	return min(rest, sum)
 }
 
-// free is the lines that may be granted now. Guards against a next keeper that reads of fewer lines than are granted: those
+// limit is the lines that grants are held against. Guards against a next keeper that reads of fewer lines than are granted: those
 // that a majority does not know of yet are not.
-func (b *book) free(now int64) int64 {
-	held, _ := b.held(now)
+func (b *book) limit() int64 {
 	lines := min(b.lines, b.isN)
 	if b.write != 0 {
 		lines = min(lines, b.wroteN)
 	}
-	return lines - held - b.unknown(now)
+	return lines
+}
+
+// free is the lines that may be granted now.
+func (b *book) free(now int64) int64 {
+	held, _ := b.held(now)
+	free := b.limit() - held - b.unknown(now)
+	if b.cfg.doctor.overGrant && b.isN > 0 {
+		free++
+	}
+	return free
+}
+
+// note adds a note of the record.
+func (b *book) note(what string, n int64, who string, until int64) {
+	b.notes = append(b.notes, fleet.Note{Kind: fleet.Keeper, What: what, Thing: b.key, Fence: b.fence, Until: until, N: n, Text: who})
+}
+
+// counted notes what a process is counted with, if that has changed.
+func (b *book) counted(now int64, what string, p *peer, n int64) {
+	if n != p.noted || what == "met" {
+		b.note(what, n, p.name, 0)
+		p.noted = n
+	}
+	if n := p.earlier(now); n != p.before {
+		b.note("before", n, p.name, 0)
+		p.before = n
+	}
+}
+
+// noteGrant notes a grant, and before it whatever it was reckoned with that is not noted yet.
+func (b *book) noteGrant(now int64, p *peer, n, lasts int64) {
+	for _, q := range b.peers {
+		b.counted(now, "holds", q, q.it.Hold+q.granted)
+	}
+	if l := b.limit(); l != b.notedLines {
+		b.note("lines", l, "", 0)
+		b.notedLines = l
+	}
+	if u := b.unknown(now); u != b.notedUnknown {
+		b.note("unknown", u, "", 0)
+		b.notedUnknown = u
+	}
+	b.note("granted", n, p.name, now+lasts)
+	p.noted += n
 }
 
 // demand is what all ask for, in calls in a thousand seconds; at least 1.
@@ -228,7 +281,7 @@
 		if p.life != 0 { // its last life is over, but what it held may stand yet
 			p.ghost, p.laid = p.holds(now), now+b.cfg.Silent
 		}
-		*p = peer{name: p.name, life: it.Life, ghost: p.ghost, laid: p.laid, ceil: p.ceil, next: p.next, turn: p.turn}
+		*p = peer{name: p.name, life: it.Life, ghost: p.ghost, laid: p.laid, ceil: p.ceil, next: p.next, turn: p.turn, noted: p.noted, before: p.before}
 	}
 	if it.N == p.n && p.seen {
 		return p // said twice
@@ -244,6 +297,7 @@
 		p.wanted = now
 	}
 	if first {
+		b.counted(now, "met", p, it.Hold)
 		b.told += it.Hold
 		b.holders = slices.DeleteFunc(b.holders, func(h holder) bool {
 			if h.name == nameHash(from) {
@@ -254,6 +308,7 @@
 		})
 		return p
 	}
+	b.counted(now, "holds", p, it.Hold)
 	if it.Refused > was.Refused {
 		b.unmet = now
 	}
@@ -336,6 +391,7 @@
 	if lasts == 0 {
 		return 0
 	}
+	b.noteGrant(now, p, n, lasts)
 	p.granted += n
 	p.lasts = lasts
 	b.served = max(b.served, p.turn)
@@ -412,7 +468,11 @@
 // forget lets go of processes that have said nothing for long, or want and hold nothing any more.
 func (b *book) forget(now int64) {
 	b.peers = slices.DeleteFunc(b.peers, func(p *peer) bool {
-		return now-p.at > b.cfg.Silent && now >= p.laid
+		over := now-p.at > b.cfg.Silent && now >= p.laid
+		if over {
+			b.counted(now, "gone", p, 0)
+		}
+		return over
 	})
 }
 
--- a/internal/keeper/config.go
+++ b/internal/keeper/config.go
@@ -43,7 +43,7 @@
 
 // doctor takes safeguards out, so that tests can show that they are needed.
 type doctor struct {
-	noStop, noFence, forgetOld, noHysteresis, oneWitness, noShare, noExpiry, pickSuspect bool
+	noStop, noFence, forgetOld, noHysteresis, oneWitness, noShare, noExpiry, pickSuspect, overGrant bool
 }
 
 // fill puts the defaults in.
--- a/internal/keeper/hand.go
+++ b/internal/keeper/hand.go
@@ -25,6 +25,7 @@
 	heard  int64 // when its keeper was last known of
 	due    int64 // when it is looked at next
 	soon   bool  // something has changed since the report
+	noted  int64 // lines that it told last, and one more; 0: none under this fence
 
 	wanted, refused uint64 // as they were when rate was reckoned
 	rate            float64
@@ -101,7 +102,7 @@
 		return
 	}
 	h.slot.fence.Store(fence)
-	h.keeper, h.heard, h.waits = keeper, now, false
+	h.keeper, h.heard, h.waits, h.noted = keeper, now, false, 0
 	p.counts.back += uint64(h.slot.retire(func(b *batch) bool { return b.fence < fence && !p.cfg.doctor.noFence }))
 	h.slot.noneUntil.Store(0)
 	h.slot.lost.Store(false)
@@ -124,7 +125,10 @@
 	h.asked, h.took, h.waits, h.soon = now, 0, want > 0, false
 	s.retire(func(b *batch) bool { return now >= b.until })
 	all, idle := h.holds()
-	p.counts.reports++
+	if p.counts.reports++; h.noted != all+1 {
+		h.noted = all + 1
+		out.Notes = append(out.Notes, fleet.Note{Kind: fleet.Keeper, What: "told", Thing: s.key, Fence: s.fence.Load(), N: all})
+	}
 	p.emit(h.keeper, item{Op: opReport, Key: s.key, Fence: s.fence.Load(), N: h.n, Life: p.cfg.Life, Hold: all, Idle: idle,
 		Calls: max(0, s.calls.Load()), Want: want, Rate: int64(h.rate), Busy: s.busy.Load(), Began: s.began.Load(),
 		Ended: s.ended.Load(), Refused: s.refused.Load()})
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -398,13 +398,18 @@
 		Again: again, Stay: stay, Share: share})
 	if q.granted > 0 {
 		p.counts.granted++
-		out.Notes = append(out.Notes, fleet.Note{Kind: fleet.Keeper, What: "granted", Thing: b.key, Fence: b.fence,
-			Until: now + q.lasts, N: q.granted, Text: q.name})
 	}
 }
 
-// early gives what may be given ahead.
+// notes hands out what is to be noted of a record.
+func (p *Part) notes(b *book, out *fleet.Out) {
+	out.Notes = append(out.Notes, b.notes...)
+	b.notes = b.notes[:0]
+}
+
+// early gives what may be given ahead, and hands out the notes.
 func (p *Part) early(now int64, b *book, out *fleet.Out) {
+	defer p.notes(b, out)
 	g, held := p.cfg.Lessor.Held(now, b.thing)
 	if !held || g.Fence != b.fence {
 		return
@@ -481,6 +486,7 @@
 	if b.write != 0 && g.Write >= b.write {
 		b.stored()
 		p.owed(now, b, g, out)
+		p.notes(b, out)
 	}
 	if b.leave != 0 {
 		if b.write == 0 || now >= b.leave {
@@ -489,6 +495,7 @@
 		return
 	}
 	b.forget(now)
+	p.notes(b, out)
 	b.seek(now)
 	next := p.follower(now, b)
 	if calm := now-b.unmet > p.cfg.Calm; calm || next != "" || p.leaves() {
--- a/internal/member/fail.go
+++ b/internal/member/fail.go
@@ -4,9 +4,12 @@
 
 import (
 	"pewterwheel/internal/fleet"
+	"pewterwheel/internal/keeper"
 	"pewterwheel/internal/lease"
 )
 
 func (*together) failParts() []fleet.Part { return nil }
 
 func doctored(c lease.Config) lease.Config { return c }
+
+func doctoredKeeper(c keeper.Config) keeper.Config { return c }
--- a/internal/member/fail_on.go
+++ b/internal/member/fail_on.go
@@ -10,6 +10,7 @@
 	"pewterwheel/internal/agent"
 	"pewterwheel/internal/failpoint"
 	"pewterwheel/internal/fleet"
+	"pewterwheel/internal/keeper"
 	"pewterwheel/internal/lease"
 )
 
@@ -32,3 +33,11 @@
 	}
 	return c
 }
+
+// doctoredKeeper is the same for the keepers of numbers.
+func doctoredKeeper(c keeper.Config) keeper.Config {
+	if failpoint.On("keeper-over") {
+		return c.Overgranting()
+	}
+	return c
+}
--- a/internal/member/parts.go
+++ b/internal/member/parts.go
@@ -40,7 +40,7 @@
 	if t.table != nil {
 		cfg := t.keepers(life, t.lessor)
 		cfg.Barred = t.stage.Soon
-		k, err := keeper.New(cfg, t.table, t.queue)
+		k, err := keeper.New(doctoredKeeper(cfg), t.table, t.queue)
 		if err != nil {
 			t.log.Error("no numbers are kept", "error", err, advice.Attr(err))
 		} else {
