--- a/internal/member/fail.go
+++ b/internal/member/fail.go
@@ -4,6 +4,7 @@
 
 import (
 	"pewterwheel/internal/fleet"
+	"pewterwheel/internal/keeper"
 	"pewterwheel/internal/lease"
 )
 
@@ -11,4 +12,6 @@
 
 func doctored(c lease.Config) lease.Config { return c }
 
+func doctoredKeeper(c keeper.Config) keeper.Config { return c }
+
 func unsafe(part float64) float64 { return part }
--- a/internal/member/fail_on.go
+++ b/internal/member/fail_on.go
@@ -10,6 +10,7 @@
 	"pewterwheel/internal/agent"
 	"pewterwheel/internal/failpoint"
 	"pewterwheel/internal/fleet"
+	"pewterwheel/internal/keeper"
 	"pewterwheel/internal/lease"
 )
 
@@ -33,6 +34,14 @@
 	return c
 }
 
+// doctoredKeeper is the same for the keepers of numbers.
+func doctoredKeeper(c keeper.Config) keeper.Config {
+	if failpoint.On("keeper-over") {
+		return c.Overgranting()
+	}
+	return c
+}
+
 // unsafe is the part of unsafe clients that may be raised, as by pooling-unsafe=0.2: a verdict that loose comes within seconds.
 func unsafe(part float64) float64 {
 	if by, err := parseFactor(failpoint.Value("pooling-unsafe")); err == nil {
