--- a/internal/fleettest/parts_test.go
+++ b/internal/fleettest/parts_test.go
@@ -181,3 +181,36 @@
 	lines, busy := f.Lines.Counts()
 	t.Logf("%d set-ups got a line and %d ended busy; %d grants, %d permits", lines, busy, f.History.Count("keeper", "granted"), f.History.Count("keeper", "permit"))
 }
+
+// Half of the fleet dies at once and comes back in a later version, then the other half. Members of both versions see each other,
+// the hot number is kept and permits are taken under either mixture, and the calls of the half that lives go on.
+func TestHalfByHalf(t *testing.T) {
+	t.Parallel()
+	f := begin(t, Options{Site: "[keepers]\nnumbers = 16\n", Lines: map[string]int{"n/hot": 10}, Hold: 300 * time.Millisecond})
+	stop := f.Offer(15, "n/hot")
+	ordinary := f.Offer(5)
+	kept := f.next(0, "keeper", "kept")
+	f.next(kept.At, "keeper", "permit")
+	for half := range 2 {
+		var dead []*Process
+		for i, p := range f.Process {
+			if i%2 == half {
+				dead = append(dead, p)
+				p.Kill()
+			}
+		}
+		for _, p := range dead {
+			p.Failpoints = "version=later"
+			p.Start()
+		}
+		for _, p := range dead {
+			p.Ready()
+		}
+		f.Agree("with versions side by side")
+		f.next(Clock(), "keeper", "permit")
+	}
+	stop()
+	ordinary()
+	f.Agree("after all")
+	sound(t, f)
+}
