--- a/internal/fleettest/parts_test.go
+++ b/internal/fleettest/parts_test.go
@@ -182,7 +182,8 @@
 	t.Logf("%d set-ups got a line and %d ended busy; %d grants, %d permits", lines, busy, f.History.Count("keeper", "granted"), f.History.Count("keeper", "permit"))
 }
 
-// Half of the fleet dies at once and comes back in a later version, then the other half. Members of both versions see each other,
+// Half of the fleet dies at once and comes back under a later version's name, then the other half; the program is the same, for there
+// is no other version of it yet that speaks with members. Members of both names see each other,
 // the hot number is kept and permits are taken under either mixture, and the calls of the half that lives go on.
 func TestHalfByHalf(t *testing.T) {
 	t.Parallel()
