Begin no attempt for a caller who has gone, whatever waits or stands still

A set-up written to an office that reads nothing left whenever it read again, its caller long gone, and past 64 KiB of such the engine ended the connection. Ruled out: the module (it is told in the same round) and slow connects whose caller has given up (taken out of the queue already).

Cause: the end of a connection is told after what came on it, and by another goroutine (session.attempt, nbio's OnClose); conn.Write hands on what nobody can take back (session.put, writeOffice).

Now putOn asks the system whether the caller is there; after a stand-still it lets an attempt wait for what its caller has said, for two watches at most; no set-up goes behind a write that has not left, and one that is stuck in such is taken back by ending its connection, also when its office is told to drain. What waits in the queue of the loop counts as waiting, so that no idle connection is closed on it.

--- a/internal/service/conn.go
+++ b/internal/service/conn.go
@@ -14,6 +14,8 @@
 	ours      bool         // opened from here
 	trusted   atomic.Bool  // a usual caller's
 	unwritten atomic.Int64 // bytes handed to the engine that the system has not taken
+	queue     *queue       // where what comes on it waits for the loop; nil: nothing does
+	poll      [1]unix.PollFd
 }
 
 // connOf returns the connection that onOpen made; nil: it was never opened.
@@ -38,9 +40,21 @@
 // written notes bytes that the system has taken.
 func (c *conn) written(n int) { c.unwritten.Add(-int64(n)) }
 
-// Waiting tells whether bytes have come that nobody has read, or some that were written have not left.
+// Unsent tells whether some of what was written has not left.
+func (c *conn) Unsent() bool { return c.unwritten.Load() > 0 }
+
+// Gone tells whether the peer has ended the connection. Guards against an attempt for a caller who has left while this
+// process stood still, or while his connection waited to be taken in: his end is read after what he asked for.
+func (c *conn) Gone() bool {
+	// Where the connection ends at this moment its descriptor may be another's; its end is told next either way.
+	c.poll[0] = unix.PollFd{Fd: int32(c.Hash()), Events: unix.POLLRDHUP}
+	n, err := unix.Poll(c.poll[:], 0)
+	return err == nil && n > 0 && c.poll[0].Revents != 0
+}
+
+// Waiting tells whether bytes have come that the loop has not been told of, or some that were written have not left.
 func (c *conn) Waiting() bool {
-	if c.unwritten.Load() > 0 {
+	if c.Unsent() || c.queue != nil && c.queue.holds(c) {
 		return true
 	}
 	// Where the connection has ended, its descriptor may be another's by now; its end is told next either way.
--- a/internal/service/network.go
+++ b/internal/service/network.go
@@ -50,7 +50,7 @@
 		NPoller: 1, ReadBufferSize: readBuffer, MaxWriteBufferSize: unwritten})
 	// The engine calls this before it reads from the connection, so nothing is queued ahead of it.
 	n.engine.OnOpen(func(c *nbio.Conn) {
-		own := &conn{Conn: c}
+		own := &conn{Conn: c, queue: q}
 		a := session.Arrival{Kind: session.Accepted, At: now(), Conn: own}
 		id, ok := c.Session().(dialled)
 		c.SetSession(own)
--- a/internal/service/queue.go
+++ b/internal/service/queue.go
@@ -79,6 +79,8 @@
 			q.slab = append(q.slab, a.Data...)
 			a.Data = q.slab[from:len(q.slab):len(q.slab)]
 		}
+	case session.Closed:
+		q.waiting[a.Conn] += arrivalSize
 	case session.Accepted, session.Asked: // each alone: callers by hundreds do not keep anyone off the second address
 		for q.accepted[a.Kind] >= maxAccepted {
 			q.room.Wait()
@@ -93,6 +95,13 @@
 	}
 }
 
+// holds tells whether anything that came on a connection waits for the loop.
+func (q *queue) holds(c state.Conn) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.waiting[c] > 0
+}
+
 // take returns all that waits, whose data is good until the next take; buf is reused for what comes next.
 func (q *queue) take(buf []session.Arrival) []session.Arrival {
 	q.mu.Lock()
--- a/internal/session/exchange_test.go
+++ b/internal/session/exchange_test.go
@@ -28,6 +28,8 @@
 //	10 a > [01 0000…01 …]     bytes from the caller a, the office o1 or the journal j
 //	10 a < [0c …]             bytes that the program wrote there; shut: it closed the connection
 //	10 a waiting              from now on something waits on the connection, unread or unwritten; idle: nothing does
+//	10 a gone                 the caller has ended the connection, and nobody has been told yet
+//	10 o1 stuck               from now on not all that is written there leaves; taken: it has left
 //	10 o1 reset               the connection has ended unnoticed: what is written to it fails
 //	10 o1 refuse              what connects to the office find from now on: accept, refuse, silent
 //	10 term                   SIGTERM; end: the program has ended
@@ -76,9 +78,15 @@
 	dead bool
 	// Something waits on it: it has come and was not read yet, or is not written whole.
 	waiting bool
+	// Its peer has ended it, which was not told yet. Not all that was written has left; none of what will be does at once.
+	gone, unsent, fills bool
 }
 
-func (c *fakeConn) Waiting() bool { return c.waiting }
+func (c *fakeConn) Waiting() bool { return c.waiting || c.unsent }
+
+func (c *fakeConn) Unsent() bool { return c.unsent }
+
+func (c *fakeConn) Gone() bool { return c.gone }
 
 func (c *fakeConn) Trust() {}
 
@@ -86,6 +94,7 @@
 	if c.dead {
 		return 0, errors.New("closed")
 	}
+	c.unsent = c.unsent || c.fills
 	if c.p.wrote != nil {
 		c.p.wrote(c, b)
 		return len(b), nil
@@ -201,6 +210,10 @@
 		conn.dead = true
 	case "waiting", "idle":
 		conn.waiting = words[2] == "waiting"
+	case "gone":
+		conn.gone = true
+	case "stuck", "taken":
+		conn.unsent = words[2] == "stuck"
 	case "close":
 		conn.dead = true
 		p.step(Arrival{Kind: Closed, At: p.now, Conn: conn, Err: io.EOF})
--- /dev/null
+++ b/internal/session/gone_test.go
@@ -0,0 +1,214 @@
+package session
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"pewterwheel/decide"
+	"pewterwheel/internal/state"
+)
+
+// upFor is a caller's set-up whose first choice is the office at a place.
+func upFor(call, place int) string {
+	return fmt.Sprintf(`[01 %016x 10["balance-check"] 13["3000"] 1c["n/%d"] 1f["dest:%d;width:1;via:-1"] 3d["offer"]]`, call, call, place)
+}
+
+func answerOf(call int) string { return fmt.Sprintf(`[09 %016x 3d["d"]]`, call) }
+
+func giveUpOf(call int) string { return fmt.Sprintf("[0c %016x 3a[10]]", call) }
+
+// wrote tells whether a message of that type was written for a call on connections whose name begins so.
+func (p *player) wroteFor(conn string, kind, call int) bool {
+	return slices.ContainsFunc(p.lines, func(line string) bool {
+		words := strings.Fields(line)
+		return len(words) > 2 && strings.HasPrefix(words[1], conn) && words[2] == "<" &&
+			strings.Contains(line, fmt.Sprintf("[%02x %016x", kind, call))
+	})
+}
+
+// lane is the main connection to an office, as the session has it.
+func (p *player) lane(office string) *state.Lane {
+	return &p.s.offices.Get(decide.ServerID(office)).Lane
+}
+
+// held has the caller b ask for call 3, which waits for a slot: the two offices have one set-up each, the caller a's.
+func held(t *testing.T) *player {
+	p := newPlayer(t)
+	p.step()
+	p.play("5 a open")
+	p.play("5 b open")
+	p.play("10 a > " + upFor(1, 0))
+	p.play("12 a > " + upFor(2, 1))
+	p.play("20 b > " + upFor(3, 0))
+	if p.wroteFor("o", 1, 3) {
+		t.Fatal("the third call did not wait for a slot")
+	}
+	return p
+}
+
+// A caller ends its connection while its call waits; the slot comes free before its end is told. No attempt begins.
+func TestNoAttemptForACallerThatHasGone(t *testing.T) {
+	p := held(t)
+	p.play("200 b gone")
+	p.play("300 o1 > " + answerOf(1))
+	p.until(1_000_000)
+	if p.wroteFor("o", 1, 3) {
+		t.Errorf("an attempt began for a caller that had gone:\n%s", strings.Join(p.lines, "\n"))
+	}
+	p.play("1000 b close")
+	p.play("1001 a > " + upFor(4, 0)) // the slot was not lost by it
+	p.until(2_000_000)
+	if !p.wroteFor("o1", 1, 4) {
+		t.Errorf("the office gets nothing more:\n%s", strings.Join(p.lines, "\n"))
+	}
+}
+
+// The same with a caller that is there: the attempt begins.
+func TestAttemptForACallerThatIsThere(t *testing.T) {
+	p := held(t)
+	p.play("300 o1 > " + answerOf(1))
+	p.until(1_000_000)
+	if !p.wroteFor("o1", 1, 3) {
+		t.Errorf("no attempt began:\n%s", strings.Join(p.lines, "\n"))
+	}
+}
+
+// The connect for a call comes up slowly, and its caller has gone meanwhile, or given up; the other call that waits goes on.
+func TestNoAttemptOnASlowConnect(t *testing.T) {
+	for _, how := range []string{"gone", "given up", "not heard yet"} {
+		p := newPlayer(t)
+		p.step()
+		for _, line := range []string{"5 a open", "5 b open", "6 o1 silent", "7 o1 close", "7 o2 silent", "8 o2 close"} {
+			p.play(line)
+		}
+		p.play("10 a > " + upFor(1, 0))
+		p.play("10 b > " + upFor(2, 1))
+		switch how {
+		case "gone":
+			p.play("100 b gone")
+		case "given up":
+			p.play("100 b > " + giveUpOf(2))
+		}
+		if how == "not heard yet" { // nothing is read for a quarter of a second; then the offices' connections are told first
+			p.until(150_000)
+			p.conns["b"].waiting = true
+		} else {
+			p.until(400_000)
+		}
+		p.now = 400_000
+		var up []Arrival
+		for i, office := range []string{"s-00000001", "s-00000002"} {
+			l := p.lane(office)
+			if len(l.Queue) == 0 && (how != "given up" || i == 0) {
+				t.Fatalf("%s: no set-up waits for %s", how, office)
+			}
+			conn := &fakeConn{p: p, name: fmt.Sprintf("o%d", i+1)}
+			p.conns[conn.name] = conn
+			up = append(up, Arrival{Kind: Dialled, At: p.now, Dial: l.Dialling, Conn: conn})
+		}
+		p.step(up...)
+		if how == "not heard yet" {
+			if p.wroteFor("o2", 1, 2) {
+				t.Errorf("%s: an attempt began", how)
+			}
+			p.play("401 b idle")
+			p.play("401 b > " + giveUpOf(2))
+		}
+		p.until(1_500_000)
+		if !p.wroteFor("o1", 1, 1) || p.wroteFor("o", 1, 2) {
+			t.Errorf("%s: the office was to get call 1 and not call 2:\n%s", how, strings.Join(p.lines, "\n"))
+		}
+	}
+}
+
+// After a stand-still an attempt waits while something of its caller is unread, and no longer than two watches.
+func TestAttemptAfterAStandStill(t *testing.T) {
+	for _, how := range []string{"given up", "something else"} {
+		p := held(t)
+		p.conns["b"].waiting = true
+		p.now = 400_000 // nothing ran since 20 ms
+		p.step(Arrival{Kind: Data, At: p.now, Conn: p.conns["o1"], Data: parse(t, answerOf(1))})
+		if p.wroteFor("o", 1, 3) {
+			t.Errorf("%s: an attempt began before its caller was heard", how)
+		}
+		if how == "given up" {
+			p.step(Arrival{Kind: Data, At: p.now, Conn: p.conns["b"], Data: parse(t, giveUpOf(3))})
+		}
+		p.until(500_000) // something of it stays unread
+		if began := p.wroteFor("o1", 1, 3); began != (how == "something else") {
+			t.Errorf("%s: an attempt began: %t\n%s", how, began, strings.Join(p.lines, "\n"))
+		}
+	}
+}
+
+// What was written to an office does not leave: further set-ups wait here, where they can be taken back.
+func TestNoAttemptBehindAWriteThatWaits(t *testing.T) {
+	for _, how := range []string{"given up", "gone", "drained", "waits"} {
+		p := newPlayer(t)
+		p.step()
+		for _, line := range []string{"5 a open", "5 b open", "6 o1 stuck", "6 o2 stuck"} {
+			p.play(line)
+		}
+		p.play("10 a > " + upFor(1, 0))
+		p.play("10 b > " + upFor(2, 1))
+		switch how {
+		case "given up":
+			p.play("100 b > " + giveUpOf(2))
+		case "gone":
+			p.play("100 b gone")
+		case "drained":
+			p.play("100 j > {0000000000000002 02 00000002 7f000001 03ea 01 00 00 0001 000003e8 0000000000000000}")
+			p.until(150_000)
+			if o := p.s.offices.Get("s-00000002"); o.State != decide.Draining {
+				t.Fatalf("the office is not draining: %v", o.State)
+			}
+			p.play("160 b > " + giveUpOf(2)) // else it goes to the other office
+		}
+		p.play("300 o1 taken")
+		p.play("300 o2 taken")
+		p.until(1_000_000)
+		if !p.wroteFor("o1", 1, 1) || p.wroteFor("o", 1, 2) != (how == "waits") {
+			t.Errorf("%s: what the offices got:\n%s", how, strings.Join(p.lines, "\n"))
+		}
+	}
+}
+
+// A set-up has been written and not all of it has left when its caller gives it up, or the office is told to drain: its
+// connection ends, for else it would begin whenever the office reads again. What stands there is released on the next one.
+func TestSetUpThatIsStuckIsTakenBack(t *testing.T) {
+	for _, how := range []string{"given up", "gone", "drained", "taken in time"} {
+		p := newPlayer(t)
+		p.step()
+		p.play("5 b open")
+		p.conns["o2"].fills = true
+		first := p.conns["o2"]
+		p.play("10 b > " + upFor(2, 1))
+		if !p.wroteFor("o2", 1, 2) {
+			t.Fatal("no set-up was written")
+		}
+		switch how {
+		case "given up":
+			p.play("100 b > " + giveUpOf(2))
+		case "gone":
+			p.play("100 b close")
+		case "drained":
+			p.play("100 j > {0000000000000002 02 00000002 7f000001 03ea 01 00 00 0001 000003e8 0000000000000000}")
+		case "taken in time":
+			first.fills = false
+			p.play("90 o2 taken")
+			p.play("100 b > " + giveUpOf(2))
+		}
+		if first.dead == (how == "taken in time") {
+			t.Errorf("%s: the connection has ended: %t\n%s", how, first.dead, strings.Join(p.lines, "\n"))
+		}
+		p.until(400_000)
+		if how != "drained" && !p.wroteFor("o2", 12, 2) {
+			t.Errorf("%s: the office was not told that nobody has the call:\n%s", how, strings.Join(p.lines, "\n"))
+		}
+		if n := len(p.s.calls); how != "drained" && n != 0 {
+			t.Errorf("%s: %d calls are left", how, n)
+		}
+	}
+}
--- a/internal/session/journal.go
+++ b/internal/session/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 
 	"pewterwheel/decide"
 	"pewterwheel/internal/membership"
@@ -139,12 +140,12 @@
 	for _, o := range s.offices.All() {
 		if o.State != decide.Up {
 			// Set-ups that wait for a connect would reach it after the grace: they never left.
-			s.unreached(&o.Lane)
-			for _, l := range o.Lanes {
-				s.unreached(l)
+			s.takeBack(&o.Lane)
+			for _, l := range slices.Clone(o.Lanes) {
+				s.takeBack(l)
 			}
 			if o.Room != nil {
-				s.unreached(o.Room)
+				s.takeBack(o.Room)
 			}
 		}
 	}
--- a/internal/session/offices.go
+++ b/internal/session/offices.go
@@ -25,6 +25,7 @@
 	errNothing  = errors.New("nothing asked for in time")
 	errOdd      = errors.New("too much that cannot be read")
 	errIdle     = errors.New("nothing to carry any more")
+	errStuck    = errors.New("what was given up, or is not to be sent any more, has not left")
 )
 
 // attempt sends a call's set-up to an office, over a connection that is opened first if there is none.
@@ -57,14 +58,18 @@
 	s.putOn(at)
 }
 
-// putOn writes an attempt's set-up to its connection, or lets it wait for that.
+// putOn writes an attempt's set-up to its connection, or lets it wait for that, and for what its caller has said meanwhile.
 func (s *Session) putOn(at *state.Attempt) {
-	l := at.On
-	if l.Conn != nil {
+	l, from := at.On, at.Call.From
+	at.Queued = true
+	if from.Conn.Gone() {
+		s.callerGaveUp(at.Call) // its end is told next
+		return
+	}
+	if l.Conn != nil && !l.Conn.Unsent() && !s.unread(from) {
 		s.put(at)
 		return
 	}
-	at.Queued = true
 	l.Queue = append(l.Queue, at)
 	if l == l.To.Room {
 		s.awaitRoom(at)
@@ -73,6 +78,21 @@
 	s.connect(l)
 }
 
+// unread tells whether a caller may have given up what it asked for, in words that were not read yet, because this process
+// has just stood still.
+func (s *Session) unread(c *state.Caller) bool {
+	return s.woke != 0 && s.now-s.woke < 2*watch && c.Conn.Waiting()
+}
+
+// unqueue writes the set-ups that wait for a connection, as far as they need not wait any more.
+func (s *Session) unqueue(l *state.Lane) {
+	queue := l.Queue
+	l.Queue = nil
+	for _, at := range queue {
+		s.putOn(at)
+	}
+}
+
 // EndHearer is a Decider that may want to be told of the end of each call that stood, by an event of kind decide.Over.
 // A Decider in front of others passes it on. Who does not hear ends gets no such event.
 type EndHearer interface {
@@ -146,6 +166,10 @@
 
 // giveUp ends an attempt from our side. The office is told; an answer that crosses this finds nobody.
 func (s *Session) giveUp(at *state.Attempt, o decide.Outcome) {
+	if stuckOn(at.On, at) {
+		s.drop(at.On.Conn, errStuck) // else it would begin there once the office reads again; it ends with the connection
+		return
+	}
 	if at.Queued {
 		queue := at.On.Queue
 		for i := range queue {
@@ -160,6 +184,22 @@
 	s.ended(at, o)
 }
 
+// stuckOn tells whether a set-up, or a part of it, may still wait in this process to be taken by the system.
+func stuckOn(l *state.Lane, at *state.Attempt) bool {
+	return at.Stuck && !at.Queued && l.Conn != nil && l.Conn.Unsent()
+}
+
+// takeBack sees to it that nothing more leaves for an office at which nothing new may begin.
+func (s *Session) takeBack(l *state.Lane) {
+	s.unreached(l)
+	for _, at := range inOrder(l.Out) {
+		if stuckOn(l, at) {
+			s.drop(l.Conn, errStuck)
+			return
+		}
+	}
+}
+
 // endAt releases a call at an office, or gives its set-up up there, on this connection or the next.
 func (s *Session) endAt(l *state.Lane, call uint64, cause byte) {
 	o := l.To
@@ -374,11 +414,7 @@
 	if l.Number == 0 {
 		s.endHere(l)
 	}
-	queue := l.Queue
-	l.Queue = nil
-	for _, at := range queue {
-		s.put(at)
-	}
+	s.unqueue(l)
 }
 
 func (s *Session) officeUnreached(l *state.Lane, err error) {
@@ -483,6 +519,9 @@
 
 // watchOffice ends a connection at which so many calls stand if it brings nothing any more, or nothing whole.
 func (s *Session) watchOffice(l *state.Lane, stand int, stoodStill bool) {
+	if l.Conn != nil && len(l.Queue) > 0 {
+		s.unqueue(l)
+	}
 	switch {
 	case l.Conn == nil:
 	case len(l.In) > 0 && s.now-l.Partial >= wholeWithin:
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -83,6 +83,9 @@
 	// a length that is too large: the message never ends, and takes in all that follows on the connection.
 	wholeWithin = 100_000
 	watch       = 20_000
+	// standStill without a round, though one comes with each watch, means that the process did not run, or the loop had too
+	// much to do.
+	standStill = 3 * watch
 	// officeSilence is how long an office at which anything is out or stands may say nothing at all. Offices tell
 	// their free lines unasked, every half second or so: it is the usual such time and half as much again, and this
 	// much at least; or until the next telling is overdue, if nothing else has come since it was due.
@@ -161,6 +164,8 @@
 	source  membership.Source
 	journal journal
 	now     int64
+	stepped int64 // when the last round was
+	woke    int64 // when it last came to after standing still, or was found to have been told late; 0: never
 	wheel   *state.Wheel
 	due     []state.Timer
 	events  []decide.Event
@@ -225,7 +230,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	s := &Session{net: net, node: node, log: log, now: now, wheel: state.NewWheel(wheelTick, now),
+	s := &Session{net: net, node: node, log: log, now: now, stepped: now, wheel: state.NewWheel(wheelTick, now),
 		began: now, ends: make([]state.Ends, len(cfg.Settings.Classes)), set: cfg.Settings, classes: map[string]int{}, names: map[string]string{}, maxTries: set.MaxTries, maxHeld: cfg.Settings.Limits.MaxHeld,
 		maxCallers: max(16, cfg.Sockets/2), maxBytes: math.MaxInt64, dialLimit: cfg.Settings.Limits.Dial,
 		roles: map[state.Conn]any{}, calls: map[uint64]*state.Call{},
@@ -270,7 +275,10 @@
 // Step takes in what has arrived and the timers that are due, hands all of it to the module at one clock
 // value, and carries out the module's actions in order.
 func (s *Session) Step(now int64, arrivals []Arrival) {
-	s.now = max(s.now, now)
+	if s.now = max(s.now, now); s.stoodStill(arrivals) {
+		s.woke = s.now
+	}
+	s.stepped = s.now
 	if len(arrivals) > 0 {
 		s.Counters[state.Rounds]++
 	}
@@ -310,6 +318,12 @@
 	s.pool.Settle()
 }
 
+// stoodStill tells whether this round comes long after the last one, or tells of what came in long ago. Guards against
+// beginning an attempt for a caller who has left meanwhile: that he has may not have been read yet.
+func (s *Session) stoodStill(arrivals []Arrival) bool {
+	return s.now-s.stepped > standStill || slices.ContainsFunc(arrivals, func(a Arrival) bool { return s.now-a.At > standStill })
+}
+
 // maxBox is what may wait for a connection before it is written within the round.
 const maxBox = 64 << 10
 
@@ -351,13 +365,13 @@
 // ends the attempts. That it failed, as on a connection that was reset while idle, proves that the office has nothing of them.
 func (s *Session) writeOffice(l *state.Lane) {
 	sent := s.write(l.Conn, &l.Box)
+	stuck := sent && len(l.Box.Sent) > 0 && l.Conn.Unsent()
 	for _, b := range l.Box.Sent {
-		c := s.calls[b.Call]
-		switch {
-		case sent:
+		if sent {
 			s.Counters[state.AttemptsOut]++
-		case c != nil && c.Attempt != nil && c.Attempt.N == b.N && c.Attempt.On == l:
-			c.Attempt.Failed = true
+		}
+		if c := s.calls[b.Call]; c != nil && c.Attempt != nil && c.Attempt.N == b.N && c.Attempt.On == l {
+			c.Attempt.Failed, c.Attempt.Stuck = !sent, stuck
 		}
 	}
 	l.Box.Clear()
--- a/internal/sidecar/bench_test.go
+++ b/internal/sidecar/bench_test.go
@@ -53,6 +53,8 @@
 	return len(b), nil
 }
 func (*fakeConn) Waiting() bool  { return false }
+func (*fakeConn) Unsent() bool   { return false }
+func (*fakeConn) Gone() bool     { return false }
 func (*fakeConn) Trust()         {}
 func (c *fakeConn) Close() error { return nil }
 
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -11,8 +11,12 @@
 type Conn interface {
 	Write([]byte) (int, error)
 	Close() error
-	// Waiting tells whether bytes have come that nobody has read, or some that were written wait for the peer to read.
+	// Waiting tells whether bytes have come that the session was not told of yet, or some that were written have not left.
 	Waiting() bool
+	// Unsent tells whether some of what was written has not left.
+	Unsent() bool
+	// Gone tells whether the peer has ended the connection, also where that was not told yet.
+	Gone() bool
 	// Trust tells that the peer is a usual one: where much comes on the connection it is slowed, and not given up.
 	Trust()
 }
@@ -133,6 +137,7 @@
 	Since  int64 // when it was sent, or queued
 	Queued bool  // waits for a connection: nothing of it has reached the office
 	Failed bool  // could not be written: nothing of it has left
+	Stuck  bool  // not all that was written with it had left then
 }
 
 // Standing is a call that stands.
