Learn each office's own rhythm of tellings, so that a burst of one silences no other

Seen: an office that tells its free lines in a burst of 100 (1 ms apart) ends the connections to all others on which a call is out or stands, each time 0.1 s after their telling. Cause: session.pulsed kept one usual time for all offices and let any gap count for half of it (offices.go), so 25 tellings at once brought 500 ms down under 100, and session.mute took every other office for overdue; a connection that is ended so never tells a second time, and the time stays wrong. Ruled out: the tellings' text, which is passed over where it cannot be read (TestBrokenAnswers).

Tellings closer than lateTold are one, and each office has its own usual time beside that of all; the longer one counts. Without it the test prints: the connection to an office that tells its free lines as always was ended.

--- a/internal/service/broken_test.go
+++ b/internal/service/broken_test.go
@@ -490,3 +490,46 @@
 		t.Errorf("bad_in=%d, want %d at least", counts["bad_in"], bad)
 	}
 }
+
+// An office that tells its free lines in a burst does not make another one seem mute that tells them as usual.
+func TestBurstOfGroupStatesSilencesNobody(t *testing.T) {
+	const usual = time.Second
+	noisy, steady := play(t, port(t)), play(t, port(t))
+	b := newBench(t, limits{memory: 48, sockets: 256}, steady, noisy)
+	n, s, caller := noisy.next(), steady.next(), b.caller()
+	state := wire.Message{Type: wire.TypeGroup, Params: []wire.Param{wire.Text(wire.ParamLoad, "free:100;size:100")}}
+	ticks := make(chan bool, 5)
+	go func() {
+		for range 5 {
+			s.say(state)
+			time.Sleep(usual)
+			ticks <- true
+		}
+	}()
+	<-ticks
+	<-ticks
+	// A call stands at the steady one, so that its silence would matter.
+	at := n
+	for call := uint64(1); at != s; call++ {
+		caller.say(setUp(call))
+		eventually(t, "an office has the call", func() bool {
+			for _, at = range []*tape{s, n} {
+				if len(at.of(call, wire.TypeSetUp)) > 0 {
+					return true
+				}
+			}
+			return false
+		})
+		at.say(answer(call, "good"))
+		caller.await(call, wire.TypeAnswer, 1)
+	}
+	for range 100 { // each a segment of its own, and so a telling of its own
+		n.say(state)
+		time.Sleep(time.Millisecond)
+	}
+	for range 3 {
+		if <-ticks; !s.over().IsZero() {
+			t.Fatal("the connection to an office that tells its free lines as always was ended")
+		}
+	}
+}
--- a/internal/session/offices.go
+++ b/internal/session/offices.go
@@ -199,7 +199,7 @@
 	case wire.TypeGroup:
 		// Comes unasked, again and again; the module draws by the free lines.
 		if l.Told != 0 {
-			s.pulsed(at - l.Told)
+			s.pulsed(l, at-l.Told)
 		}
 		if l.Told = at; l.Number != 0 && l.To.Conn != nil {
 			break // it comes on the main connection, too
@@ -449,23 +449,29 @@
 	s.redial(o)
 }
 
-// pulsed learns the usual time between two tellings. Guards against one that was late, after which the next seems
-// early, or of which several were missed: a gap counts for half to twice what is usual.
-func (s *Session) pulsed(gap int64) {
-	if s.pulse == 0 {
-		s.pulse = gap
+// pulsed learns the usual time between two tellings, of all offices and of this one. Guards against one that was late,
+// after which the next seems early, or of which several were missed: a gap counts for half to twice what is usual; and
+// against a burst of them, after which every office would seem late.
+func (s *Session) pulsed(l *state.Lane, gap int64) {
+	for _, pulse := range []*int64{&s.pulse, &l.Pulse} {
+		if *pulse == 0 {
+			*pulse = max(gap, lateTold)
+		}
+		if gap >= lateTold {
+			*pulse += (min(max(gap, *pulse/2), 2**pulse) - *pulse) / 8
+		}
 	}
-	s.pulse = max(1, s.pulse+(min(max(gap, s.pulse/2), 2*s.pulse)-s.pulse)/8)
 }
 
 // mute tells whether a connection brings nothing any more.
 func (s *Session) mute(l *state.Lane) bool {
-	if s.pulse == 0 {
+	pulse := max(s.pulse, l.Pulse)
+	if pulse == 0 {
 		return false
 	}
-	due := l.Told + s.pulse
-	overdue := l.Told != 0 && l.Heard < due && s.now >= due+max(lateTold, s.pulse/latePart)
-	return overdue || s.now-l.Heard >= max(officeSilence, s.pulse+s.pulse/2)
+	due := l.Told + pulse
+	overdue := l.Told != 0 && l.Heard < due && s.now >= due+max(lateTold, pulse/latePart)
+	return overdue || s.now-l.Heard >= max(officeSilence, pulse+pulse/2)
 }
 
 // watchOffices ends connections to offices on which a message has begun and does not end, or nothing comes any more.
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -190,6 +190,7 @@
 	Opened   int64  // when the connection came up
 	Heard    int64  // when anything last came on it
 	Told     int64  // when the office last told its free lines on it; 0: not yet
+	Pulse    int64  // usual time between two such tellings, on this connection and those before it; 0: not known
 	Dialling uint64 // the dial that is under way; 0: none
 	In       []byte
 	Partial  int64               // since when In holds part of a message
