Pause before connecting again to an office that takes each connection and ends it at once

Seen: with one call standing at an office that accepts and closes, 3,330 connects within a second, each with a line in the log. Cause: session.officeOpen cleared the backoff as soon as a connection came up, and officeLost dialled again at once where a call stands or a release waits (offices.go). Ruled out: refused connects and those that do not come up, which pause already.

The backoff now ends with a connection that has lasted for redialMost; the first loss before that is dialled at once, as it was, later ones after 0.1 to 0.8 s. A new set-up connects at once as before. Touches internal/session/offices.go (officeOpen, officeLost).

--- a/internal/session/offices.go
+++ b/internal/session/offices.go
@@ -360,8 +360,8 @@
 
 func (s *Session) officeOpen(l *state.Lane, conn state.Conn) {
 	o := l.To
-	if l.Dialling, l.In = 0, nil; l.Number == 0 {
-		o.Backoff, o.Lost, o.Unreached = 0, 0, false
+	if l.Dialling, l.In = 0, nil; l.Number == 0 { // the backoff goes on until a connection has lasted
+		o.Lost, o.Unreached = 0, false
 	}
 	if o.State == decide.Removed {
 		_ = conn.Close() // nothing was written to it
@@ -446,6 +446,16 @@
 	if len(o.Standing) > 0 && o.Lost == 0 && o.Conn == nil {
 		o.Lost = s.now
 	}
+	switch quick := s.now-l.Opened < redialMost; {
+	case l.Number != 0: // it says nothing of the main one
+	case quick && o.Backoff != 0: // guards against a connect for each round trip, where each is taken and ended at once
+		s.redialLater(o)
+		return
+	case quick: // the first such loss may be chance
+		o.Backoff = redialFirst / 2
+	default:
+		o.Backoff = 0
+	}
 	s.redial(o)
 }
 
