--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -222,7 +222,7 @@
 				return err
 			}
 			w.callers = append(w.callers, caller)
-			go caller.Offer(c.Name, time.Duration(c.Deadline)*time.Microsecond, c.Rate, n, stop)
+			caller.Offer(c.Name, time.Duration(c.Deadline)*time.Microsecond, c.Rate, n, stop)
 		}
 	}
 	if err := w.until(long / 4); err != nil {
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -129,18 +129,21 @@
 	return ch
 }
 
-// Offer sends calls of a class at a rate a second, whatever comes back, until it has sent so many or stop is closed.
+// Offer begins to send calls of a class at a rate a second, whatever comes back, until it has sent so many or stop is
+// closed. Wait waits for that end, too: a call that is sent after it would have no answer.
 func (c *Caller) Offer(class string, wait time.Duration, rate float64, calls int, stop <-chan struct{}) {
 	begin := time.Now()
-	for i := range calls {
-		due := begin.Add(time.Duration(float64(i) / rate * float64(time.Second)))
-		select {
-		case <-stop:
-			return
-		case <-time.After(time.Until(due)):
+	c.done.Go(func() {
+		for i := range calls {
+			due := begin.Add(time.Duration(float64(i) / rate * float64(time.Second)))
+			select {
+			case <-stop:
+				return
+			case <-time.After(time.Until(due)):
+			}
+			c.Call(class, wait)
 		}
-		c.Call(class, wait)
-	}
+	})
 }
 
 // Wait waits until every call has its final answer, for so long at the most.
--- /dev/null
+++ b/internal/standin/caller_test.go
@@ -0,0 +1,86 @@
+package standin
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+const patience = 30 * time.Second
+
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for by := time.Now().Add(patience); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(by) {
+			t.Fatalf("%s did not come", what)
+		}
+	}
+}
+
+// Who waits for a caller waits for what it is yet to send, too.
+func TestWaitIsForWhatIsOffered(t *testing.T) {
+	book := NewBook()
+	o, err := NewOffice("o", "127.0.0.1:0", book, Script{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer o.Close()
+	c, err := Dial(o.Address, book, 0) // to the office itself: it answers as a sidecar would
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	stop := make(chan struct{})
+	c.Offer("sale-auth", patience, 0.001, 2, stop) // the second call is due in a quarter of an hour
+	until(t, "the first call's answer", func() bool { return book.Sums().Answered == 1 })
+	if c.Wait(50 * time.Millisecond) {
+		t.Error("nothing was waited for, and a call was to come")
+	}
+	close(stop)
+	if !c.Wait(patience) {
+		t.Error("the end of what was offered did not come")
+	}
+}
+
+// A call crossed its connection's end if that end had come before it was sent, however late it is read; else it may have
+// been sent only a moment before.
+func TestLineTellsWhatCrossed(t *testing.T) {
+	for _, first := range []string{"end", "call"} {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn, err := net.Dial("tcp4", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		peer, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		book := NewBook()
+		line := NewLine(l.Addr().String(), book, 0)
+		line.pipe = &pipe{conn: conn} // whose end nobody reads until the test does
+		end := func() {
+			_ = peer.Close()
+			until(t, "the end", line.pipe.over)
+		}
+		was := line.pipe
+		if first == "end" {
+			end()
+		}
+		line.Call("sale-auth", patience, time.Now().Add(patience))
+		if first == "call" {
+			end()
+		}
+		time.Sleep(2 * crossing)
+		line.closed(was, io.EOF)
+		if again, lost := line.Again, len(book.Broken()); first == "end" && (again != 1 || lost != 0) || first == "call" && (again != 0 || lost != 1) {
+			t.Errorf("the %s came first: %d were sent again, %v", first, again, book.Broken())
+		}
+		line.Close()
+		_ = conn.Close()
+		_ = l.Close()
+	}
+}
