Let stand-in offices count from when a connection ended, however late they read of it

Beside other load TestTakeOversUnderLoad and TestReloadsUnderLoad said that calls were sent "after they had been set up" and "27 ms after an attempt that was given up or cut". The program had ended the office's connection, as it may ("nothing said any more"), and the test's process read of that end up to hundreds of milliseconds late: meanwhile it counted an answer that nobody could get, and then the guard from its own reading. Ends are now asked of the kernel: no answer is given on a connection whose end has come, and the guard counts from when it came.

Without the mend the new test says "the end is told 281.684762ms after it came" and "a call was answered on a connection that had ended".

--- a/internal/standin/book.go
+++ b/internal/standin/book.go
@@ -101,13 +101,13 @@
 	c.at = office
 }
 
-// over notes the end of an attempt; cut: it was given up, or its connection ended.
-func (b *Book) over(id uint64, office string, cut bool) {
+// over notes the end of an attempt; cut is when it was given up, or its connection ended, and zero if neither.
+func (b *Book) over(id uint64, office string, cut time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if c := b.call(id); c.at == office {
-		if c.at = ""; cut {
-			c.ended = time.Now()
+		if c.at = ""; !cut.IsZero() {
+			c.ended = cut
 		}
 	}
 }
--- a/internal/standin/caller_test.go
+++ b/internal/standin/caller_test.go
@@ -84,3 +84,40 @@
 		_ = l.Close()
 	}
 }
+
+// An office counts from when its connection ended, and no answer goes on a connection that has ended, however late the
+// end is read.
+func TestOfficeTellsWhenItWasLeft(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	peer, err := net.Dial("tcp4", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	p := &pipe{conn: conn} // whose end nobody reads until the test does
+	if p.over() || time.Since(p.ended()) > time.Second {
+		t.Error("a connection that stands is over")
+	}
+	_ = peer.Close()
+	until(t, "the end", p.over)
+	seen := time.Now()
+	time.Sleep(200 * time.Millisecond)
+	if late := p.ended().Sub(seen); late > 20*time.Millisecond {
+		t.Errorf("the end is told %s after it came", late)
+	}
+	book := NewBook()
+	o := &Office{Name: "o", book: book, standing: map[uint64]bool{}}
+	o.setUp(p, 7, "", map[uint64]bool{})
+	time.Sleep(50 * time.Millisecond) // the answer would be due at once
+	if book.call(7).answered {
+		t.Error("a call was answered on a connection that had ended")
+	}
+}
--- a/internal/standin/line.go
+++ b/internal/standin/line.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"pewterwheel/internal/wire"
 )
 
@@ -86,23 +84,6 @@
 	c.after = l.pipe.over()
 }
 
-// over tells whether the peer has ended the connection, by what the system knows of it.
-func (p *pipe) over() (ended bool) {
-	tcp, ok := p.conn.(*net.TCPConn)
-	if !ok {
-		return false
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	_ = raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		ended = err == nil && info.State != unix.BPF_TCP_ESTABLISHED
-	})
-	return ended
-}
-
 func (l *Line) read(p *pipe) {
 	for {
 		m, err := p.next()
--- a/internal/standin/office.go
+++ b/internal/standin/office.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"pewterwheel/internal/wire"
 )
 
@@ -145,6 +147,7 @@
 func (o *Office) serve(p *pipe) {
 	out := map[uint64]bool{} // set-ups on this connection that are not over
 	defer func() {
+		ended := p.ended()
 		_ = p.conn.Close()
 		o.mu.Lock()
 		delete(o.conns, p.conn)
@@ -152,7 +155,7 @@
 		o.mu.Unlock()
 		for call := range out {
 			o.lines().end(call)
-			o.book.over(call, o.Name, true)
+			o.book.over(call, o.Name, ended)
 		}
 	}()
 	for {
@@ -183,7 +186,7 @@
 				o.book.harm()
 			}
 			if !stood && out[m.Call] {
-				o.book.over(m.Call, o.Name, true)
+				o.book.over(m.Call, o.Name, time.Now())
 			}
 			delete(out, m.Call)
 			_ = p.send(wire.Message{Type: wire.TypeHeard, Call: m.Call})
@@ -217,20 +220,20 @@
 	switch {
 	case full:
 		delete(out, call)
-		o.book.over(call, o.Name, false)
+		o.book.over(call, o.Name, time.Time{})
 		m := wire.ReleaseOf(call, wire.CauseFull)
 		m.Params = append(m.Params, wire.Text(wire.ParamNote, wire.NoteOverload))
 		return p.send(m) == nil
 	case missing != "":
 		delete(out, call)
-		o.book.over(call, o.Name, false)
+		o.book.over(call, o.Name, time.Time{})
 		o.book.harm()
 		m := wire.ReleaseOf(call, s.Bound)
 		m.Params = append(m.Params, wire.Text(wire.ParamNote, missing))
 		return p.send(m) == nil
 	case s.Mode == Busy:
 		delete(out, call)
-		o.book.over(call, o.Name, false)
+		o.book.over(call, o.Name, time.Time{})
 		return p.send(wire.ReleaseOf(call, wire.CauseBusy)) == nil
 	case s.Mode == Reset:
 		return false
@@ -238,8 +241,8 @@
 		return true
 	}
 	time.AfterFunc(wait+s.Work, func() {
-		if !o.book.answered(call, o.Name) {
-			return // it was given up
+		if p.over() || !o.book.answered(call, o.Name) {
+			return // it was given up, or its connection's end has come, which gives it up, and is not read yet
 		}
 		o.mu.Lock()
 		o.standing[call] = true
@@ -287,6 +290,39 @@
 	return err
 }
 
+// info is what the system knows of the connection; zero: nothing.
+func (p *pipe) info() (info unix.TCPInfo) {
+	tcp, ok := p.conn.(*net.TCPConn)
+	if !ok {
+		return info
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return info
+	}
+	_ = raw.Control(func(fd uintptr) {
+		if known, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			info = *known
+		}
+	})
+	return info
+}
+
+// over tells whether the peer has ended the connection, though nobody may have read that yet.
+func (p *pipe) over() bool {
+	state := p.info().State
+	return state != 0 && state != unix.BPF_TCP_ESTABLISHED
+}
+
+// ended is when the peer ended the connection, to some milliseconds, however late it is read; now, if it did not.
+func (p *pipe) ended() time.Time {
+	now, info := time.Now(), p.info()
+	if info.State != unix.BPF_TCP_CLOSE_WAIT {
+		return now
+	}
+	return now.Add(-time.Duration(info.Last_ack_recv) * time.Millisecond)
+}
+
 // next reads one message. Its values are good until the next one.
 func (p *pipe) next() (wire.Message, error) {
 	for {
