Count a give-up that crosses an office's answer as one in the stand-ins' book

Beside other load TestTakeOversUnderLoad said of 15 calls that they were sent "after they had been set up": the controller's counters had 15 cancels and no lost connection. It had given those set-ups up, as the module may, while the office's answers were on their way. The book now takes the release of a call that its caller knows nothing of for that give-up, and holds the guard from then on; a call whose caller has its answer may still never be sent again.

Without the mend the new test says "the caller was told: false; [call 7 was sent to o after it had been set up]".

--- a/internal/standin/book.go
+++ b/internal/standin/book.go
@@ -112,6 +112,16 @@
 	}
 }
 
+// released notes that a call that stands was let go. If its caller has not been told that it stands, the give-up of its
+// set-up crossed the office's answer: it counts as given up, and may be sent again after the guard.
+func (b *Book) released(id uint64, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c := b.call(id); c.answered && c.finals == 0 && !c.by.IsZero() {
+		c.answered, c.ended = false, now
+	}
+}
+
 // answered notes that an office sets a call up; false: it was given up there.
 func (b *Book) answered(id uint64, office string) bool {
 	b.mu.Lock()
--- a/internal/standin/caller_test.go
+++ b/internal/standin/caller_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"testing"
 	"time"
+
+	"pewterwheel/internal/wire"
 )
 
 const patience = 30 * time.Second
@@ -121,3 +123,39 @@
 		t.Error("a call was answered on a connection that had ended")
 	}
 }
+
+// A give-up that crosses the office's answer gives the set-up up; the release of a call of which its caller knows does not.
+func TestGiveUpCrossesAnswer(t *testing.T) {
+	for _, told := range []bool{false, true} {
+		book := NewBook()
+		o, err := NewOffice("o", "127.0.0.1:0", book, Script{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer o.Close()
+		conn, err := net.Dial("tcp4", o.Address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+		p := &pipe{conn: conn}
+		book.offered(7, time.Now().Add(patience))
+		_ = p.send(wire.SetUp{Class: "sale-auth", Number: "n/7", Description: []byte("offer")}.Onward(7, patience.Microseconds()))
+		until(t, "the call at the office", func() bool { return o.Standing() == 1 })
+		if told {
+			book.final(7, &book.Counts.Answered)
+		}
+		_ = p.send(wire.ReleaseOf(7, wire.CauseNormal))
+		for heard := false; !heard; {
+			m, err := p.next()
+			if err != nil {
+				t.Fatal(err)
+			}
+			heard = m.Type == wire.TypeHeard
+		}
+		book.out(7, "o", time.Now().Add(guard))
+		if n := len(book.Broken()); n != map[bool]int{true: 1}[told] {
+			t.Errorf("the caller was told: %v; %v", told, book.Broken())
+		}
+	}
+}
--- a/internal/standin/office.go
+++ b/internal/standin/office.go
@@ -185,6 +185,9 @@
 			if harmed {
 				o.book.harm()
 			}
+			if stood {
+				o.book.released(m.Call, time.Now())
+			}
 			if !stood && out[m.Call] {
 				o.book.over(m.Call, o.Name, time.Now())
 			}
