Give a held call up once its window for repeats is over, and name the time to the session

Seen: mayRepeat was asked in again() alone, when an attempt ended. The call was then held, for the release rule or for a slot, and pump, pick and allowed did not ask again: it was sent after the second rule's window. A window shorter than the guard was broken by each repeat. Ruled out: calls never tried, and classes that are free, have no bound.

Change: a call keeps the time its window ends (until); pump, the tick and again ask it, and a call whose guard outlasts its window is given up at once. Send names the time, so that a set-up that still waits for a connection can be taken back. The ledger of the random test checks both.

--- a/decide/api.go
+++ b/decide/api.go
@@ -182,7 +182,7 @@
 
 // The kinds of action.
 const (
-	Send   ActionKind = iota + 1 // start a set-up: Call, Server
+	Send   ActionKind = iota + 1 // start a set-up: Call, Server, Until
 	Refuse                       // final answer, turned away: Call, Wait
 	Fail                         // final answer, given up: Call, Wait
 	Cancel                       // stop waiting for an attempt: Call, Attempt
@@ -200,4 +200,5 @@
 	Wait    int64
 	Token   uint64
 	Text    string
+	Until   int64 // clock time by which the set-up must have left, after it nothing may be sent; 0: no bound
 }
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -113,8 +113,8 @@
 	at       *server // where an attempt is out
 	sent     int64
 	last     *server // where the last attempt was
-	firstRan int64   // first attempt that may have run; 0: none
-	ranAt    *server
+	ranAt    *server // where it may have run first; nil: nowhere
+	until    int64   // from then on the second rule lets nothing be sent; 0: always
 	off      bool    // the attempt that is out was called off
 	part     float64 // part of the class's worth that its tenant's share leaves
 	over     bool    // final answer given or caller gone
@@ -426,8 +426,8 @@
 	case TimedOut, Cut, Cancelled:
 		c.notAgain = n.now + n.set.Rules.Guard
 	}
-	if c.firstRan == 0 {
-		c.firstRan, c.ranAt = c.sent, s
+	if c.ranAt == nil {
+		c.ranAt, c.until = s, [...]int64{Guarded: c.sent + c.class.Window, SingleShot: c.sent}[c.class.Effect]
 	}
 }
 
@@ -442,11 +442,8 @@
 	n.held = append(n.held, c)
 }
 
-// mayRepeat keeps the second rule for classes whose repeats have an effect.
-func (n *Node) mayRepeat(c *call) bool {
-	return c.firstRan == 0 || c.class.Effect == Free ||
-		c.class.Effect == Guarded && n.now < c.firstRan+c.class.Window
-}
+// mayRepeat keeps the second rule for classes whose repeats have an effect; the release rule may outlast it.
+func (n *Node) mayRepeat(c *call) bool { return c.until == 0 || max(n.now, c.notAgain) < c.until }
 
 // finish gives the final answer of a call that is held or has an attempt out.
 func (n *Node) finish(c *call) {
@@ -561,11 +558,11 @@
 	return !c.over && float64(n.now)+soonest >= float64(c.deadline)
 }
 
-// giveUpHopeless ends held calls that have become hopeless.
+// giveUpHopeless ends held calls that have become hopeless, or may no more be repeated.
 func (n *Node) giveUpHopeless() {
 	soonest := n.soonestDelay()
 	for _, c := range n.held {
-		if n.hopeless(c, soonest) {
+		if n.hopeless(c, soonest) || !c.over && !n.mayRepeat(c) {
 			n.finish(c)
 		}
 	}
@@ -695,7 +692,7 @@
 	if c.class.Pools != nil && !slices.Contains(c.class.Pools, s.place) {
 		return false
 	}
-	if c.firstRan != 0 && c.class.Effect == Guarded {
+	if c.ranAt != nil && c.class.Effect == Guarded {
 		switch c.class.Scope {
 		case ScopeZone:
 			return s.zone == c.ranAt.zone
@@ -717,6 +714,8 @@
 	for _, c := range n.held {
 		switch {
 		case c.over:
+		case !n.mayRepeat(c):
+			n.finish(c)
 		case !room || n.now < c.notAgain:
 			keep = append(keep, c)
 		default:
@@ -853,7 +852,7 @@
 	s.open = append(s.open, c)
 	s.budget--
 	n.space(s, 0)
-	n.act(Action{Kind: Send, Call: c.id, Server: s.id})
+	n.act(Action{Kind: Send, Call: c.id, Server: s.id, Until: c.until})
 }
 
 func (s *server) reported(l Load) {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -421,6 +421,9 @@
 	guard    int64
 	answered int
 	over     bool
+	guarded  bool
+	sent     int64 // its last attempt
+	until    int64 // its window ends; 0: no attempt may have run, or repeats are free
 }
 
 func (l *ledger) check(now int64, acts []Action, set Settings) {
@@ -432,10 +435,13 @@
 			if c == nil || c.over || c.out || now < c.guard || now >= c.deadline || c.tries >= set.MaxTries {
 				l.t.Fatalf("at %d: send of call %d breaks a rule: %+v", now, a.Call, c)
 			}
+			if c.until != a.Until || c.until != 0 && now >= c.until {
+				l.t.Fatalf("at %d: send of call %d to leave by %d, its window ends at %d", now, a.Call, a.Until, c.until)
+			}
 			if s == nil || s.down != 0 {
 				l.t.Fatalf("at %d: send to %s, which is not up", now, a.Server)
 			}
-			c.out, c.at = true, a.Server
+			c.out, c.at, c.sent = true, a.Server, now
 			c.tries++
 		case Refuse, Fail:
 			if c == nil || c.over || now > c.deadline+set.Rules.AnswerSlack {
@@ -449,6 +455,7 @@
 
 func playRandom(t *testing.T, seed uint64) []Action {
 	set := testSettings()
+	set.Classes[1].Effect, set.Classes[1].Window = Guarded, 500*ms
 	rng := rand.New(rand.NewPCG(seed, 1))
 	ids := []ServerID{"a", "b", "c"}
 	l := &ledger{t: t, calls: map[CallID]*entry{}, servers: map[ServerID]*struct{ down int64 }{}}
@@ -465,9 +472,10 @@
 		switch rng.IntN(5) {
 		case 0, 1:
 			id := CallID(i + 1)
-			l.calls[id] = &entry{deadline: r.now + 50*ms + rng.Int64N(4*sec)}
+			class := rng.IntN(2)
+			l.calls[id] = &entry{deadline: r.now + 50*ms + rng.Int64N(4*sec), guarded: class == 1}
 			l.order = append(l.order, id)
-			tell(Event{Kind: Order, Call: id, Class: rng.IntN(2), Dest: rng.IntN(4), Key: fmt.Sprint(rng.IntN(50)),
+			tell(Event{Kind: Order, Call: id, Class: class, Dest: rng.IntN(4), Key: fmt.Sprint(rng.IntN(50)),
 				Deadline: l.calls[id].deadline})
 		case 2, 3:
 			if len(l.order) == 0 {
@@ -488,6 +496,9 @@
 			if o == TimedOut || o == Cut || o == Cancelled {
 				c.guard = r.now + set.Rules.Guard
 			}
+			if c.guarded && c.until == 0 && o != Rejected && o != Unreached && o != Unsent {
+				c.until = c.sent + set.Classes[1].Window
+			}
 			tell(Event{Kind: Ended, Call: id, Server: c.at, Attempt: c.tries - 1, Outcome: o, Final: c.over,
 				Full: rng.IntN(3) == 0, Load: NoLoad()})
 		case 4:
@@ -691,6 +702,64 @@
 	}
 }
 
+// A call that may have run was held past its window, for the release rule or for a slot, and then sent once more.
+func TestHeldCallIsGivenUpWithItsWindow(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		window  int64
+		after   int64 // the first attempt ends
+		room    int64 // the other server gets room
+		sent    bool
+		givenUp int64 // at the latest
+	}{
+		{"room in time", 800 * ms, 50 * ms, 600 * ms, true, 0},
+		{"room too late", 800 * ms, 50 * ms, 900 * ms, false, 820 * ms},
+		{"room at the very end", 800 * ms, 50 * ms, 800 * ms, false, 820 * ms},
+		{"shorter than the guard", 100 * ms, 50 * ms, 0, false, 50 * ms},
+		{"over before the attempt", 100 * ms, 150 * ms, 0, false, 150 * ms},
+		{"as long as the guard", 450 * ms, 50 * ms, 0, false, 50 * ms},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			set := testSettings()
+			set.Classes[0].Effect, set.Classes[0].Window = Guarded, c.window
+			r := newRig(t, set, up("a", 0), up("b", 1))
+			a := r.one(Send, r.order(1, 0, 0))
+			if a.Until != 0 {
+				t.Errorf("a first attempt is to leave by %d", a.Until)
+			}
+			start := r.now
+			r.n.byID["a"].next, r.n.byID["b"].next = start+60*sec, start+c.room
+			acts := r.run(c.after)
+			acts = append(acts, r.ended(a, TimedOut, false)...)
+			if c.givenUp > 0 {
+				acts = append(acts, r.run(start+c.givenUp-r.now)...)
+				r.one(Fail, acts)
+			}
+			acts = append(acts, r.run(3*sec)...)
+			if got := of(Send, acts); c.sent != (len(got) == 1) || c.sent && got[0].Until != start+c.window {
+				t.Errorf("sent again as %v", got)
+			}
+		})
+	}
+}
+
+// Room may come in the same step in which the window has passed, before any tick could tell.
+func TestRoomAfterTheWindowSendsNothing(t *testing.T) {
+	set := testSettings()
+	set.Classes[0].Effect, set.Classes[0].Window = Guarded, 501*ms
+	r := newRig(t, set, up("a", 0))
+	a := r.one(Send, r.order(1, 0, 0))
+	start := r.now
+	r.run(50 * ms)
+	r.ended(a, TimedOut, false)
+	r.n.byID["a"].next = start + 502*ms
+	r.none(Fail, r.run(start+500*ms-r.now))
+	r.now = start + 503*ms
+	acts := r.step(Event{Kind: Checked, Server: "a", Load: NoLoad()})
+	r.none(Send, acts)
+	r.one(Fail, acts)
+}
+
 func TestSubscribesWhereTheListMustBeAsked(t *testing.T) {
 	set := testSettings()
 	set.Subscribe, set.Rules.AskWithin = true, 4*sec
