Take a set-up back whose window for repeats ends while it waits for a connection

A guarded call that may have run may be sent again within its class's window alone. The module now names that time with Send; a set-up that was queued for a slow connect would still have left after it (session.officeOpen wrote all that waited).

attempt sets a timer at that time, which ends what has not left; putOn asks again. A single-shot call that may have run never repeats, also where the clock stood at 0 then.

Without the two lines TestSetUpLeavesWithinItsWindow prints 'up at 301: left: true'; with a timer that ends what has left, too, it prints 'up at 250: answered: false'. decide, session and service pass.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -114,7 +114,7 @@
 	sent     int64
 	last     *server // where the last attempt was
 	ranAt    *server // where it may have run first; nil: nowhere
-	until    int64   // from then on the second rule lets nothing be sent; 0: always
+	until    int64   // from then on the second rule lets nothing be sent; 0: no such time
 	off      bool    // the attempt that is out was called off
 	part     float64 // part of the class's worth that its tenant's share leaves
 	over     bool    // final answer given or caller gone
@@ -427,7 +427,7 @@
 		c.notAgain = n.now + n.set.Rules.Guard
 	}
 	if c.ranAt == nil {
-		c.ranAt, c.until = s, [...]int64{Guarded: c.sent + c.class.Window, SingleShot: c.sent}[c.class.Effect]
+		c.ranAt, c.until = s, [...]int64{Guarded: c.sent + c.class.Window, SingleShot: -1}[c.class.Effect]
 	}
 }
 
--- a/internal/session/gone_test.go
+++ b/internal/session/gone_test.go
@@ -212,3 +212,49 @@
 		}
 	}
 }
+
+// sends is a decider that sends what comes to one office, to leave by a time.
+type sends struct {
+	to    decide.ServerID
+	until int64
+	ended []decide.Event
+}
+
+func (d *sends) Step(now int64, e decide.Event, out []decide.Action) []decide.Action {
+	switch e.Kind {
+	case decide.Order:
+		out = append(out, decide.Action{Kind: decide.Send, Call: e.Call, Server: d.to, Until: now + d.until})
+	case decide.Ended:
+		d.ended = append(d.ended, e)
+		out = append(out, decide.Action{Kind: decide.Fail, Call: e.Call})
+	}
+	return out
+}
+
+func (*sends) Avoids(decide.ServerID) bool { return false }
+
+// The window in which a call may be repeated ends while its set-up waits for a connection: it is taken back then. One that has
+// left in time stays out until its answer comes.
+func TestSetUpLeavesWithinItsWindow(t *testing.T) {
+	for _, up := range []int64{250, 299, 301, 400} {
+		d := &sends{to: "s-00000001", until: 290_000}
+		p := newPlayerOf(t, Config{Sockets: 1024, Seed: 7, Node: func(decide.Settings, uint64) (Decider, error) { return d, nil }})
+		p.step()
+		for _, line := range []string{"5 a open", "6 o1 silent", "7 o1 close"} {
+			p.play(line)
+		}
+		p.play("10 a > " + upFor(1, 0)) // to leave by 300 ms
+		p.until(up * 1000)
+		conn := &fakeConn{p: p, name: "o1"}
+		p.conns["o1"] = conn
+		p.step(Arrival{Kind: Dialled, At: p.now, Dial: p.lane("s-00000001").Dialling, Conn: conn})
+		p.until(900_000)
+		if left := p.wroteFor("o1", 1, 1); left != (up < 300) || left != (len(d.ended) == 0) {
+			t.Errorf("up at %d: left: %t; ended: %v", up, left, d.ended)
+		}
+		p.play("900 o1 > " + answerOf(1))
+		if answered := p.wroteFor("a", 9, 1); answered != (up < 300) {
+			t.Errorf("up at %d: answered: %t", up, answered)
+		}
+	}
+}
--- a/internal/session/offices.go
+++ b/internal/session/offices.go
@@ -53,8 +53,11 @@
 		l = s.laneFor(c, office)
 	}
 	at := c.Try(l, s.now)
-	c.Attempt = at
+	c.Attempt, at.Until = at, a.Until
 	s.setTimer(c.Deadline, state.Timer{Kind: state.TimerAttempt, ID: c.ID, N: int32(at.N)})
+	if a.Until != 0 {
+		s.setTimer(a.Until, state.Timer{Kind: state.TimerAttempt, ID: c.ID, N: int32(at.N)})
+	}
 	s.putOn(at)
 }
 
@@ -62,9 +65,13 @@
 func (s *Session) putOn(at *state.Attempt) {
 	l, from := at.On, at.Call.From
 	at.Queued = true
-	if from.Conn.Gone() {
+	switch {
+	case from.Conn.Gone():
 		s.callerGaveUp(at.Call) // its end is told next
 		return
+	case at.Until != 0 && s.now >= at.Until:
+		s.giveUp(at, decide.TimedOut)
+		return
 	}
 	if l.Conn != nil && !l.Conn.Unsent() && !s.unread(from) {
 		s.put(at)
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -610,7 +610,7 @@
 	case state.TimerModule:
 		s.event(decide.Event{Kind: decide.Fired, Token: t.ID})
 	case state.TimerAttempt:
-		if c := s.calls[t.ID]; c != nil && c.Attempt != nil && c.Attempt.N == int(t.N) {
+		if c := s.calls[t.ID]; c != nil && c.Attempt != nil && c.Attempt.N == int(t.N) && (c.Attempt.Queued || s.now >= c.Deadline) {
 			s.Counters[state.TimeOuts]++
 			s.giveUp(c.Attempt, decide.TimedOut)
 		}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -137,6 +137,7 @@
 	Since  int64 // when it was sent, or queued
 	Queued bool  // waits for a connection: nothing of it has reached the office
 	Failed bool  // could not be written: nothing of it has left
+	Until  int64 // nothing of it may leave from then on; 0: no such time
 	Stuck  bool  // not all that was written with it had left then
 }
 
