Give a connect back to the system when the session gives up on it, not after two seconds

Seen: 12 offices that do not come up, 128 descriptors allowed, a connect given 200 ms: 51 descriptors. Cause: a connect that the session had given up (dial_timeout_us) kept its descriptor until a fixed 2 s (service/network.go), while the next one to the same office was under way; with 24 offices and the usual 500 ms that passes what is left beside the callers' half. Ruled out: connects that come up after they were given up, which are closed.

The connect now ends 50 ms after the time in the settings, and the session's own timer tells of it, so that an office that is silent is still told from one that refuses. Touches internal/service/network.go.

--- a/internal/service/network.go
+++ b/internal/service/network.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"os"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -15,9 +16,11 @@
 	readBuffer = 64 << 10
 	// leastUnwritten is the least that may wait for a peer that does not read; past its bound the connection ends.
 	leastUnwritten = 64 << 10
-	// dialLimit is when a connect that has not come up is given back to the system. The session gives up on
-	// it sooner, by the time in its settings.
-	dialLimit = 2 * time.Second
+	// dialBeyond is how long after the time in the settings, by which the session gives up on a connect, one that has not
+	// come up is given back to the system. Guards against descriptors for several connects to each office that is away.
+	dialBeyond = 50 * time.Millisecond
+	// dialLimit is that time where the settings name none.
+	dialLimit = 500 * time.Millisecond
 	// acceptPause is how long after a failed accept the next one comes.
 	acceptPause = 10 * time.Millisecond
 )
@@ -32,6 +35,7 @@
 	now     func() int64
 	control string // the second address, as the system writes it
 	callers *leaving
+	connect time.Duration // the most that a connect may take
 	started chan struct{} // closed once the engine runs
 }
 
@@ -41,7 +45,11 @@
 	nbio.MaxOpenFiles = sockets + 64 // the engine keeps a table of that size
 	// All peers together that read nothing must not fill memory.
 	unwritten := max(leastUnwritten, int(cfg.Limits.MemoryMB<<20)/2/sockets)
-	n := &network{queue: q, now: now, started: make(chan struct{})}
+	n := &network{queue: q, now: now, started: make(chan struct{}), connect: dialLimit}
+	if limit := cfg.Settings.Limits.Dial; limit > 0 {
+		n.connect = time.Duration(limit) * time.Microsecond
+	}
+	n.connect += dialBeyond
 	addresses := []string{cfg.Listen}
 	if cfg.Control != "" {
 		addresses = append(addresses, cfg.Control)
@@ -98,14 +106,15 @@
 func (n *network) Dial(address string, id uint64) {
 	go func() {
 		<-n.started
-		if err := n.dial(address, id); err != nil {
+		// Of one that did not come up in time the session has told itself by then, or does so in its next step.
+		if err := n.dial(address, id); err != nil && !os.IsTimeout(err) {
 			n.queue.put(session.Arrival{Kind: session.Dialled, At: n.now(), Dial: id, Err: err})
 		}
 	}()
 }
 
 func (n *network) dial(address string, id uint64) error {
-	std, err := net.DialTimeout("tcp4", address, dialLimit)
+	std, err := net.DialTimeout("tcp4", address, n.connect)
 	if err != nil {
 		return err // it names the address
 	}
