Close no idle caller's connection while what came on it is still on its way to the loop

Conn.Waiting asked the system alone. What the engine had read and not yet handed on (as while put waits for room), what was queued, and what was further down in the round being played was not seen: sendAway, closeQuiet and watchCallers (session/leave.go, session/callers.go) could close the connection, and the set-up on it got no answer. Such a set-up may be older than the 50 ms within which its caller sends it again, as after a stand-still of the loop. Ruled out: the system's own queue (TIOCINQ was asked) and answers not yet written.

They play the program by hand: real sockets and engine, the loop and the clock in the test's hands.

--- a/internal/service/conn_test.go
+++ b/internal/service/conn_test.go
@@ -24,7 +24,7 @@
 	opened, gate := make(chan *conn, 1), make(chan bool)
 	engine := nbio.NewEngine(nbio.Config{Network: "tcp4", Addrs: []string{"127.0.0.1:0"}, NPoller: 1, MaxWriteBufferSize: 64 << 20})
 	engine.OnOpen(func(c *nbio.Conn) {
-		own := &conn{Conn: c}
+		own := &conn{Conn: c, queue: newQueue(32)}
 		c.SetSession(own)
 		opened <- own
 	})
--- a/internal/service/network.go
+++ b/internal/service/network.go
@@ -50,7 +50,7 @@
 		NPoller: 1, ReadBufferSize: readBuffer, MaxWriteBufferSize: unwritten})
 	// The engine calls this before it reads from the connection, so nothing is queued ahead of it.
 	n.engine.OnOpen(func(c *nbio.Conn) {
-		own := &conn{Conn: c}
+		own := &conn{Conn: c, queue: q}
 		a := session.Arrival{Kind: session.Accepted, At: now(), Conn: own}
 		id, ok := c.Session().(dialled)
 		c.SetSession(own)
@@ -63,6 +63,12 @@
 	})
 	// The engine tries again at once. Guards against a full core while descriptors are short.
 	n.engine.OnAcceptError(func(error) { time.Sleep(acceptPause) })
+	buffer := make([]byte, readBuffer) // the one poller's
+	n.engine.OnReadBufferAlloc(func(c *nbio.Conn) *[]byte {
+		q.inHand.Store(c)
+		return &buffer
+	})
+	n.engine.OnReadBufferFree(func(*nbio.Conn, *[]byte) { q.inHand.Store(nil) })
 	n.engine.OnData(func(c *nbio.Conn, data []byte) {
 		q.put(session.Arrival{Kind: session.Data, At: now(), Conn: connOf(c), Data: data})
 	})
--- a/internal/service/queue.go
+++ b/internal/service/queue.go
@@ -3,6 +3,9 @@
 import (
 	"math"
 	"sync"
+	"sync/atomic"
+
+	"github.com/lesismal/nbio"
 
 	"pewterwheel/internal/session"
 	"pewterwheel/internal/state"
@@ -32,7 +35,10 @@
 	bytes    int
 	accepted map[session.ArrivalKind]int
 	waiting  map[state.Conn]int // bytes of each connection; over perConn: given up
+	playing  map[state.Conn]int // the same of what the last take gave
 	wake     chan struct{}
+	// The connection from which the engine's one poller reads, or of which it hands on what it has read; nil: none.
+	inHand atomic.Pointer[nbio.Conn]
 	// What came is copied behind each other into one slab, and is good until the next take; by turns with the one that
 	// the loop is reading.
 	slab, reading []byte
@@ -44,7 +50,7 @@
 const maxSlab, maxSpare = 256 << 10, 64
 
 func newQueue(memoryMB int64) *queue {
-	q := &queue{wake: make(chan struct{}, 1), waiting: map[state.Conn]int{}, accepted: map[session.ArrivalKind]int{},
+	q := &queue{wake: make(chan struct{}, 1), waiting: map[state.Conn]int{}, playing: map[state.Conn]int{}, accepted: map[session.ArrivalKind]int{},
 		most: max(leastQueue, int(queuePart*float64(memoryMB<<20)))}
 	q.room.L = &q.mu
 	return q
@@ -110,7 +116,16 @@
 	}
 	q.slab, q.reading = q.reading[:0], q.slab
 	clear(q.accepted)
-	clear(q.waiting)
+	clear(q.playing)
+	q.waiting, q.playing = q.playing, q.waiting
 	q.room.Broadcast()
 	return items
 }
+
+// holds tells whether anything of a connection waits for the loop, or is among what the loop is playing. Guards against
+// ending a connection as idle in the round that has its set-up.
+func (q *queue) holds(c *conn) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.waiting[c]+q.playing[c] > 0
+}
--- /dev/null
+++ b/internal/service/races_test.go
@@ -0,0 +1,297 @@
+package service
+
+import (
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"golang.org/x/sys/unix"
+
+	"pewterwheel/internal/session"
+	"pewterwheel/internal/wire"
+)
+
+// byHand is the program with its clock and its loop in a test's hands: its sockets, engine and queue are as in service, and
+// what comes between two of its lines is the test's to choose.
+type byHand struct {
+	t       *testing.T
+	q       *queue
+	network *network
+	s       *session.Session
+	clock   atomic.Int64
+	items   []session.Arrival
+	listen  string
+	office  net.Listener
+	held    chan bool // where it is not nil, connects wait for it
+}
+
+// Dial opens a connection as the network does, once the test lets it.
+func (b *byHand) Dial(address string, id uint64) {
+	held := b.held
+	go func() {
+		if held != nil {
+			<-held
+		}
+		b.network.Dial(address, id)
+	}()
+}
+
+// Leave is the network's.
+func (b *byHand) Leave() { b.network.Leave() }
+
+// playByHand starts the program. Its list has one office, at which the test answers.
+func playByHand(t *testing.T, with func(*Config)) *byHand {
+	t.Helper()
+	b := &byHand{t: t, listen: free(t), office: port(t)}
+	var cfg Config
+	if err := json.Unmarshal([]byte(configuration(b.listen, "", port(t), b.office)), &cfg); err != nil {
+		t.Fatal(err)
+	}
+	if with != nil {
+		with(&cfg)
+	}
+	b.clock.Store(time.Now().UnixMicro())
+	b.q = newQueue(cfg.Limits.MemoryMB)
+	b.network = newNetwork(cfg, b.q, b.clock.Load)
+	nbio.MaxOpenFiles = 4096 // both ends are in this process
+	sc, err := cfg.Session()
+	if err == nil {
+		b.s, err = session.New(sc, b, slog.New(slog.DiscardHandler), b.clock.Load())
+	}
+	if err == nil {
+		err = b.network.start()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.network.Leave) // the engine's own end would wait for who accepts, who does not come back
+	return b
+}
+
+// step plays what has come.
+func (b *byHand) step() {
+	b.items = b.q.take(b.items)
+	b.s.Step(b.clock.Load(), b.items)
+}
+
+// stepped lets time pass, in steps in which timers come as they do in service.
+func (b *byHand) stepped(d time.Duration) {
+	for end := b.clock.Load() + d.Microseconds(); b.clock.Load() < end; {
+		b.clock.Add(min(5000, end-b.clock.Load()))
+		b.step()
+	}
+}
+
+// until plays what comes until something is so; no time passes.
+func (b *byHand) until(what string, is func() bool) {
+	b.t.Helper()
+	eventually(b.t, what, func() bool { b.step(); return is() })
+}
+
+// during plays what comes while peers talk; no time passes.
+func (b *byHand) during(talk func()) {
+	b.t.Helper()
+	done := make(chan bool)
+	go func() { defer close(done); talk() }()
+	for over := false; !over; b.step() {
+		select {
+		case <-done:
+			over = true
+		case <-time.After(time.Millisecond):
+		}
+	}
+	if b.t.Failed() {
+		b.t.FailNow()
+	}
+}
+
+// queued waits until so many arrivals wait for the loop, which stands still.
+func (b *byHand) queued(n int) {
+	b.t.Helper()
+	eventually(b.t, "what was sent waits for the loop", func() bool {
+		b.q.mu.Lock()
+		defer b.q.mu.Unlock()
+		return len(b.q.items) >= n
+	})
+}
+
+// dial connects a caller, and returns it with the program's end of its connection.
+func (b *byHand) dial(d net.Dialer) (*peer, *conn) {
+	b.t.Helper()
+	far, err := d.Dial("tcp4", b.listen)
+	p := newPeer(b.t, far, err)
+	var own *conn
+	eventually(b.t, "the caller is taken in", func() bool {
+		b.items = b.q.take(b.items)
+		for _, a := range b.items {
+			if a.Kind == session.Accepted {
+				own = a.Conn.(*conn)
+			}
+		}
+		b.s.Step(b.clock.Load(), b.items)
+		return own != nil
+	})
+	return p, own
+}
+
+// accept is the office's end of the next connection to it.
+func (b *byHand) accept() *peer {
+	b.t.Helper()
+	var p *peer
+	b.during(func() {
+		c, err := b.office.Accept()
+		p = newPeer(b.t, c, err)
+	})
+	return p
+}
+
+// call sets a call up.
+func (b *byHand) call(id uint64, server, caller *peer) {
+	b.t.Helper()
+	b.during(func() {
+		caller.write(setUp(id))
+		server.want(wire.TypeSetUp, id)
+		server.write(answerTo(id))
+		caller.want(wire.TypeAnswer, id)
+	})
+}
+
+// test passes a caller's test, after which it is no client that asks for nothing.
+func (b *byHand) test(caller *peer) {
+	b.t.Helper()
+	b.during(func() {
+		caller.write(wire.Message{Type: wire.TypeTest})
+		caller.want(wire.TypeTested, 0)
+	})
+}
+
+// stop sends SIGTERM.
+func (b *byHand) stop() {
+	b.q.put(signalled(syscall.SIGTERM, nil))
+	b.step()
+}
+
+// unread is how many bytes the system has for one end of a connection.
+func unread(c *conn) int {
+	n, _ := unix.IoctlGetInt(c.Hash(), unix.TIOCINQ)
+	return n
+}
+
+// blocked keeps the engine from handing anything on, with what it reads next in its hands, until it is called.
+func (b *byHand) blocked() (release func()) {
+	b.q.mu.Lock()
+	defer b.q.mu.Unlock()
+	most := b.q.most
+	b.q.most = -1
+	return func() {
+		b.q.mu.Lock()
+		defer b.q.mu.Unlock()
+		b.q.most = most
+		b.q.room.Broadcast()
+	}
+}
+
+// inHand waits until the engine has read all that a peer wrote, while it is blocked.
+func (b *byHand) inHand(p *peer, own *conn) {
+	b.t.Helper()
+	raw, err := p.conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	eventually(b.t, "what was written has been read", func() bool {
+		left := 0
+		_ = onSocket(raw, func(fd int) (err error) { left, err = unix.IoctlGetInt(fd, unix.TIOCOUTQ); return err })
+		return left == 0 && unread(own) == 0
+	})
+}
+
+// A connection on which something is on its way to the loop waits, wherever that is: in the hands of whoever reads, in the
+// queue, or among what the loop is playing.
+func TestWaitingOnTheWholeWay(t *testing.T) {
+	b := playByHand(t, nil)
+	p, own := b.dial(net.Dialer{})
+	b.step()
+	eventually(t, "nothing waits", func() bool { return !own.Waiting() })
+	release := b.blocked()
+	p.write(wire.Message{Type: wire.TypeTest})
+	b.inHand(p, own)
+	if !own.Waiting() {
+		t.Error("what the engine has read, and cannot hand on yet, does not wait")
+	}
+	release()
+	b.queued(1)
+	if !own.Waiting() {
+		t.Error("what is queued does not wait")
+	}
+	b.items = b.q.take(b.items)
+	if !own.Waiting() {
+		t.Error("what is being played does not wait")
+	}
+	b.s.Step(b.clock.Load(), b.items)
+	b.step()
+	eventually(t, "nothing waits", func() bool { return !own.Waiting() })
+}
+
+// A caller that was quiet asks for a call in the very round in which a further one comes for whom there is no room: the room
+// is made elsewhere. Guards against a set-up that dies with its connection after it was read.
+func TestQuietCallerAsksAsAnotherComes(t *testing.T) {
+	b := playByHand(t, func(c *Config) { c.Limits.Sockets = 32 })
+	server := b.accept()
+	var callers []*peer
+	for range 16 {
+		p, _ := b.dial(net.Dialer{})
+		callers = append(callers, p)
+		b.test(p)
+		b.stepped(10 * time.Millisecond)
+	}
+	b.step()
+	callers[0].write(setUp(7)) // it has been quiet for longest
+	b.queued(1)
+	far, err := net.Dial("tcp4", b.listen)
+	newcomer := newPeer(t, far, err)
+	b.queued(2)
+	b.items = b.q.take(b.items)
+	if b.items[0].Kind == session.Data { // the order of two of the engine's goroutines is anybody's guess
+		b.items[0], b.items[1] = b.items[1], b.items[0]
+	}
+	b.s.Step(b.clock.Load(), b.items)
+	b.during(func() {
+		server.want(wire.TypeSetUp, 7)
+		server.write(answerTo(7))
+		callers[0].want(wire.TypeAnswer, 7)
+	})
+	b.call(8, server, newcomer)
+	b.during(func() {
+		if n, err := callers[1].conn.Read(make([]byte, 1)); n != 0 || err != io.EOF {
+			t.Errorf("the connection that was quiet for longest gave %d bytes, %v", n, err)
+		}
+	})
+}
+
+// A set-up is in the engine's hands when callers' connections are ended after SIGTERM: it is answered.
+func TestSetUpReadAsCallersAreSentAway(t *testing.T) {
+	b := playByHand(t, nil)
+	server := b.accept()
+	p, own := b.dial(net.Dialer{})
+	b.test(p)
+	b.stop()
+	b.stepped(840 * time.Millisecond)
+	release := b.blocked()
+	p.write(setUp(7))
+	b.inHand(p, own)
+	b.stepped(60 * time.Millisecond)
+	release()
+	b.during(func() {
+		server.want(wire.TypeSetUp, 7)
+		server.write(answerTo(7))
+		p.want(wire.TypeAnswer, 7)
+	})
+	b.stepped(100 * time.Millisecond)
+	b.until("it is over", b.s.Done)
+}
