--- a/internal/service/conn.go
+++ b/internal/service/conn.go
@@ -14,7 +14,7 @@
 	ours      bool         // opened from here
 	trusted   atomic.Bool  // a usual caller's
 	unwritten atomic.Int64 // bytes handed to the engine that the system has not taken
-	queue     *queue       // where what comes on it waits for the loop; nil: nothing does
+	queue     *queue       // where what it brings goes
 	poll      [1]unix.PollFd
 }
 
@@ -52,12 +52,13 @@
 	return err == nil && n > 0 && c.poll[0].Revents != 0
 }
 
-// Waiting tells whether bytes have come that the loop has not been told of, or some that were written have not left.
-func (c *conn) Waiting() bool {
-	if c.Unsent() || c.queue != nil && c.queue.holds(c) {
-		return true
-	}
+// Unread tells whether something has come that the loop was not told of. It is looked for in the order of its way: what the
+// system no longer has is being read, and what is no longer read is queued.
+func (c *conn) Unread() bool {
 	// Where the connection has ended, its descriptor may be another's by now; its end is told next either way.
 	unread, err := unix.IoctlGetInt(c.Hash(), unix.TIOCINQ)
-	return err == nil && unread > 0
+	return err == nil && unread > 0 || c.queue.inHand.Load() == c.Conn || c.queue.holds(c, false)
 }
+
+// Waiting tells whether something has come that the loop has not played, or some that was written has not left.
+func (c *conn) Waiting() bool { return c.Unsent() || c.Unread() || c.queue.holds(c, true) }
--- a/internal/service/gone_test.go
+++ b/internal/service/gone_test.go
@@ -295,11 +295,11 @@
 		t.Fatal(err)
 	}
 	<-q.wake // it has been read, and nobody has been told
-	if !own.Waiting() {
+	if !own.Waiting() || !own.Unread() {
 		t.Error("what waits in the queue does not count")
 	}
-	if q.take(nil); own.Waiting() {
-		t.Error("the loop has been told, and something waits")
+	if q.take(nil); own.Unread() {
+		t.Error("the loop has been told, and something is unread")
 	}
 	if own.Gone() {
 		t.Error("the peer is there")
--- a/internal/service/network.go
+++ b/internal/service/network.go
@@ -71,6 +71,13 @@
 	})
 	// The engine tries again at once. Guards against a full core while descriptors are short.
 	n.engine.OnAcceptError(func(error) { time.Sleep(acceptPause) })
+	buffer := make([]byte, readBuffer) // the one poller's
+	n.engine.OnReadBufferAlloc(func(c *nbio.Conn) *[]byte {
+		q.inHand.Store(c)
+		buffer = buffer[:cap(buffer)] // the engine cuts it to what it has read
+		return &buffer
+	})
+	n.engine.OnReadBufferFree(func(*nbio.Conn, *[]byte) { q.inHand.Store(nil) })
 	n.engine.OnData(func(c *nbio.Conn, data []byte) {
 		q.put(session.Arrival{Kind: session.Data, At: now(), Conn: connOf(c), Data: data})
 	})
--- a/internal/session/exchange_test.go
+++ b/internal/session/exchange_test.go
@@ -84,6 +84,8 @@
 
 func (c *fakeConn) Waiting() bool { return c.waiting || c.unsent }
 
+func (c *fakeConn) Unread() bool { return c.waiting }
+
 func (c *fakeConn) Unsent() bool { return c.unsent }
 
 func (c *fakeConn) Gone() bool { return c.gone }
--- a/internal/session/offices.go
+++ b/internal/session/offices.go
@@ -88,7 +88,7 @@
 // unread tells whether a caller may have given up what it asked for, in words that were not read yet, because this process
 // has just stood still.
 func (s *Session) unread(c *state.Caller) bool {
-	return s.woke != 0 && s.now-s.woke < 2*watch && c.Conn.Waiting()
+	return s.woke != 0 && s.now-s.woke < 2*watch && c.Conn.Unread()
 }
 
 // unqueue writes the set-ups that wait for a connection, as far as they need not wait any more.
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -11,8 +11,10 @@
 type Conn interface {
 	Write([]byte) (int, error)
 	Close() error
-	// Waiting tells whether bytes have come that the session was not told of yet, or some that were written have not left.
+	// Waiting tells whether something has come that the session has not been through, or some that was written has not left.
 	Waiting() bool
+	// Unread tells whether something has come that the session was not told of yet.
+	Unread() bool
 	// Unsent tells whether some of what was written has not left.
 	Unsent() bool
 	// Gone tells whether the peer has ended the connection, also where that was not told yet.
