Keep the checkpoint of a compaction that finds nothing written since the one before

Under the race detector beside other load TestCutAtEveryStep said "cut at step 40: opened again it is map[], and was map[k0:v4-x ...]": all that the store held was gone. A cut had left a whole checkpoint that no manifest named yet; the next open took it in and compacted at once, at the same frame's number, so the new checkpoint had the old one's name and place, and went with the files that it replaced (startCompaction, compacted). The same came without a cut: each open begins a segment, so 65 starts in a row with nothing written end in such a compaction, and the second such one emptied the store. The command's compaction (closeCompacted) had a guard of its own; the running store had none.

A compaction now writes a frame that changes nothing first, where nothing was written since the last checkpoint: so each checkpoint has a name of its own. Without the mend the new test says "opened 129 times, after 2 compactions: map[]".

--- a/internal/store/compact.go
+++ b/internal/store/compact.go
@@ -27,7 +27,16 @@
 }
 
 func (s *Store) startCompaction() {
-	if err := s.roll(); err != nil {
+	// Guards against a checkpoint that would take the name, and so the place, of the one before it, and go with the files
+	// that it replaces: where nothing was written since that one, a frame that changes nothing is.
+	var err error
+	if slices.Contains(s.old, checkpointName(s.number)) {
+		err = s.frames([]batch{{}})
+	}
+	if err == nil {
+		err = s.roll()
+	}
+	if err != nil {
 		s.fail(err)
 		s.drop()
 		return
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -140,6 +140,40 @@
 	t.Logf("%d cuts", cuts)
 }
 
+// A store that is opened and closed again and again, with nothing written, has too many files in the end and compacts them;
+// so does one that finds a whole checkpoint which no manifest names yet. What it holds is the same throughout.
+func TestCompactionWithNothingWritten(t *testing.T) {
+	fs := newMemFS()
+	s, err := Open(fs, Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := state{"a": "1", "b": "2"}
+	s.Append([]Op{{Key: "a", Value: []byte("1")}, {Key: "b", Value: []byte("2")}})
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	for compactions, opens := uint64(0), 0; compactions < 3; opens++ {
+		if opens > 5*manyFiles {
+			t.Fatalf("%d compactions", compactions)
+		}
+		if s, err = Open(fs, Options{}); err != nil {
+			t.Fatal(err)
+		}
+		many := len(s.old) > manyFiles
+		for by := time.Now().Add(30 * time.Second); many && s.Stats().Compactions == 0 && time.Now().Before(by); time.Sleep(time.Millisecond) {
+			_ = s.Sync() // wakes the writer
+		}
+		if err := s.Close(); err != nil {
+			t.Fatal(err)
+		}
+		compactions += s.Stats().Compactions
+		if got := content(t, fs.clone()); !maps.Equal(got, want) {
+			t.Fatalf("opened %d times, after %d compactions: %v", opens+1, compactions, got)
+		}
+	}
+}
+
 // One step fails, and the store goes on: what was lost is told, and nothing is written behind it until the whole state is.
 func TestOneStepFails(t *testing.T) {
 	whole := newMemFS()
