Bound what an office's releases of unknown calls may take of memory

Seen: an office that releases unknown calls at full speed for 3 s brought a process with 32 MB to 36 MB resident. Ruled out: what waits for the loop (2 MB) and what an office does not read (64 KB, then its connection ends). Callers are bounded by maxOdd.

--- a/internal/session/offices.go
+++ b/internal/session/offices.go
@@ -318,6 +318,10 @@
 		s.endStanding(st)
 		s.tellEnd(m.Call, cause, st.From)
 	} else if _, known := s.over[m.Call]; !known && s.calls[m.Call] == nil {
+		if o.Strays++; o.Strays > maxEndings { // no office has so many to tell at once: guards against filling memory
+			s.Counters[state.BadIn]++
+			return
+		}
 		s.tellEnd(m.Call, cause, nil) // a call of before our own start
 	}
 	s.over[m.Call] = s.now
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -657,6 +657,7 @@
 	}
 	for _, o := range s.offices.All() {
 		maps.DeleteFunc(o.Ended, old)
+		o.Strays = 0
 	}
 	if s.lanes.laner != nil {
 		s.sweepLanes()
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -220,6 +220,7 @@
 	Lost      int64                // when the connection was lost with calls standing; 0: not
 	Standing  map[uint64]*Standing // calls that stand there
 	Ended     map[uint64]Ending    // releases that the office has not been heard to take
+	Strays    int                  // releases of calls that nobody knows, which it has sent since the last sweep
 
 	// Nothing of this is made where no calls are given lanes.
 	Serial uint64           // number of the office, for the verdict on its lanes
