End no office's connection as silent or not whole while its bytes wait unread

Seen: under floods from callers the connection to an office that tells its free lines each 250 ms ended as "nothing said any more", and all set-ups out on it were cut. Cause: watchOffice (session/offices.go) judges by what the loop has read; whoever reads waits while the queue is full, and an office's bytes wait in the socket meanwhile. stoodStill guards against a loop that stood still alone, and for a message that is not whole not even that. Callers have had this guard (Conn.Waiting).

A connection on which bytes wait unread is now left alone until they are read. What waits to be written does not count: an office that reads nothing any more is to be found out. Touches offices.go (watchOffice), service/conn.go (Unread, out of Waiting).

--- a/internal/service/conn.go
+++ b/internal/service/conn.go
@@ -40,9 +40,11 @@
 
 // Waiting tells whether bytes have come that nobody has read, or some that were written have not left.
 func (c *conn) Waiting() bool {
-	if c.unwritten.Load() > 0 {
-		return true
-	}
+	return c.unwritten.Load() > 0 || c.Unread()
+}
+
+// Unread tells whether bytes have come that nobody has read.
+func (c *conn) Unread() bool {
 	// Where the connection has ended, its descriptor may be another's by now; its end is told next either way.
 	unread, err := unix.IoctlGetInt(c.Hash(), unix.TIOCINQ)
 	return err == nil && unread > 0
--- a/internal/session/exchange_test.go
+++ b/internal/session/exchange_test.go
@@ -80,6 +80,8 @@
 
 func (c *fakeConn) Waiting() bool { return c.waiting }
 
+func (c *fakeConn) Unread() bool { return c.waiting }
+
 func (c *fakeConn) Trust() {}
 
 func (c *fakeConn) Write(b []byte) (int, error) {
--- a/internal/session/offices.go
+++ b/internal/session/offices.go
@@ -501,14 +501,17 @@
 	}
 }
 
-// watchOffice ends a connection at which so many calls stand if it brings nothing any more, or nothing whole.
+// watchOffice ends a connection at which so many calls stand if it brings nothing any more, or nothing whole. Guards
+// against ending one whose bytes wait unread while much comes from others.
 func (s *Session) watchOffice(l *state.Lane, stand int, stoodStill bool) {
 	switch {
 	case l.Conn == nil:
 	case len(l.In) > 0 && s.now-l.Partial >= wholeWithin:
-		s.Counters[state.BadIn]++
-		s.drop(l.Conn, errPartial)
-	case len(l.Out)+stand > 0 && !stoodStill && s.mute(l):
+		if !l.Conn.Unread() {
+			s.Counters[state.BadIn]++
+			s.drop(l.Conn, errPartial)
+		}
+	case len(l.Out)+stand > 0 && !stoodStill && s.mute(l) && !l.Conn.Unread():
 		s.drop(l.Conn, errMute)
 	}
 }
--- a/internal/sidecar/bench_test.go
+++ b/internal/sidecar/bench_test.go
@@ -53,6 +53,7 @@
 	return len(b), nil
 }
 func (*fakeConn) Waiting() bool  { return false }
+func (*fakeConn) Unread() bool   { return false }
 func (*fakeConn) Trust()         {}
 func (c *fakeConn) Close() error { return nil }
 
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -13,6 +13,8 @@
 	Close() error
 	// Waiting tells whether bytes have come that nobody has read, or some that were written wait for the peer to read.
 	Waiting() bool
+	// Unread tells of the bytes alone that have come.
+	Unread() bool
 	// Trust tells that the peer is a usual one: where much comes on the connection it is slowed, and not given up.
 	Trust()
 }
