--- a/internal/session/offices.go
+++ b/internal/session/offices.go
@@ -365,6 +365,10 @@
 		s.endStanding(st)
 		s.tellEnd(m.Call, cause, st.From)
 	} else if _, known := s.over[m.Call]; !known && s.calls[m.Call] == nil {
+		if o.Strays++; o.Strays > maxEndings { // no office has so many to tell at once: guards against filling memory
+			s.Counters[state.BadIn]++
+			return
+		}
 		s.tellEnd(m.Call, cause, nil) // a call of before our own start
 	}
 	s.over[m.Call] = s.now
@@ -540,7 +544,8 @@
 	}
 }
 
-// watchOffice ends a connection at which so many calls stand if it brings nothing any more, or nothing whole.
+// watchOffice ends a connection at which so many calls stand if it brings nothing any more, or nothing whole. Guards
+// against ending one whose bytes wait unread while much comes from others.
 func (s *Session) watchOffice(l *state.Lane, stand int, stoodStill bool) {
 	if l.Conn != nil && len(l.Queue) > 0 {
 		s.unqueue(l)
@@ -548,9 +553,11 @@
 	switch {
 	case l.Conn == nil:
 	case len(l.In) > 0 && s.now-l.Partial >= wholeWithin:
-		s.Counters[state.BadIn]++
-		s.drop(l.Conn, errPartial)
-	case len(l.Out)+stand > 0 && !stoodStill && s.mute(l):
+		if !l.Conn.Unread() {
+			s.Counters[state.BadIn]++
+			s.drop(l.Conn, errPartial)
+		}
+	case len(l.Out)+stand > 0 && !stoodStill && s.mute(l) && !l.Conn.Unread():
 		s.drop(l.Conn, errMute)
 	}
 }
