Let an office tell a call's end again that nobody was there to be told

An office's release was answered with 'heard' at once (session/offices.go, officeReleased), also where no caller was connected that could be told. It was kept in memory for the next caller (unsent) and lost if the process ended first: SIGTERM while a call stands whose caller has closed its idle connection, or a release that comes after sendAway has ended the callers' connections and before the process ends. The office, told that it was heard, does not tell it to the process that serves next; the call is left standing towards its client.

Now it is not answered as heard while nobody is there who has asked for a call; by the protocol the office tells it again on the next connection that is opened, which is the next process's. Where it is the same process's, the id is known and the release is heard then.

--- a/internal/service/races_test.go
+++ b/internal/service/races_test.go
@@ -29,6 +29,8 @@
 	listen  string
 	office  net.Listener
 	held    chan bool // where it is not nil, connects wait for it
+	conns   []*conn   // all that came up
+	closed  int       // connections whose end was played
 }
 
 // Dial opens a connection as the network does, once the test lets it.
@@ -70,14 +72,25 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	b.until("the office and the journal are connected", func() bool { return len(b.conns) == 2 })
 	t.Cleanup(b.network.Leave) // the engine's own end would wait for who accepts, who does not come back
 	return b
 }
 
 // step plays what has come.
-func (b *byHand) step() {
-	b.items = b.q.take(b.items)
-	b.s.Step(b.clock.Load(), b.items)
+func (b *byHand) step() { b.play(b.q.take(b.items)) }
+
+// play plays one round.
+func (b *byHand) play(items []session.Arrival) {
+	b.items = items
+	for _, a := range items {
+		if c, ok := a.Conn.(*conn); ok && (a.Kind == session.Accepted || a.Kind == session.Dialled) {
+			b.conns = append(b.conns, c)
+		} else if a.Kind == session.Closed {
+			b.closed++
+		}
+	}
+	b.s.Step(b.clock.Load(), items)
 }
 
 // stepped lets time pass, in steps in which timers come as they do in service.
@@ -128,13 +141,13 @@
 	p := newPeer(b.t, far, err)
 	var own *conn
 	eventually(b.t, "the caller is taken in", func() bool {
-		b.items = b.q.take(b.items)
-		for _, a := range b.items {
-			if a.Kind == session.Accepted {
-				own = a.Conn.(*conn)
+		n := len(b.conns)
+		b.step()
+		for _, c := range b.conns[n:] {
+			if !c.ours {
+				own = c
 			}
 		}
-		b.s.Step(b.clock.Load(), b.items)
 		return own != nil
 	})
 	return p, own
@@ -233,7 +246,7 @@
 	if !own.Waiting() {
 		t.Error("what is being played does not wait")
 	}
-	b.s.Step(b.clock.Load(), b.items)
+	b.play(b.items)
 	b.step()
 	eventually(t, "nothing waits", func() bool { return !own.Waiting() })
 }
@@ -260,7 +273,7 @@
 	if b.items[0].Kind == session.Data { // the order of two of the engine's goroutines is anybody's guess
 		b.items[0], b.items[1] = b.items[1], b.items[0]
 	}
-	b.s.Step(b.clock.Load(), b.items)
+	b.play(b.items)
 	b.during(func() {
 		server.want(wire.TypeSetUp, 7)
 		server.write(answerTo(7))
--- a/internal/session/callers.go
+++ b/internal/session/callers.go
@@ -42,6 +42,9 @@
 	}
 }
 
+// mayBeUsual tells whether a connection has asked for a call, or ended one.
+func mayBeUsual(c *state.Caller) bool { return c.Good || c.Asked != 0 }
+
 // good notes that a connection is a usual caller's, and tells it what could not be told to one.
 func (s *Session) good(c *state.Caller) {
 	if c.Good {
--- a/internal/session/offices.go
+++ b/internal/session/offices.go
@@ -282,13 +282,17 @@
 	wire.CauseCut: {decide.Cut, state.Resets}}
 
 func (s *Session) officeReleased(l *state.Lane, m wire.Message, when int64) {
-	hear := l
-	if s.lanes.laner != nil {
-		hear = s.laneToHear(l, m.Call)
-	}
-	box := s.officeBox(hear)
-	box.Bytes = wire.AppendHeard(box.Bytes, m.Call)
 	o, cause := l.To, m.Cause()
+	// Where nobody is there to be told of a call's end, the office is to tell it again on its next connection: this process
+	// may have ended by then, and with it what it has heard.
+	if _, ended := o.Ended[m.Call]; ended || s.calls[m.Call] != nil || slices.ContainsFunc(s.callers, mayBeUsual) {
+		hear := l
+		if s.lanes.laner != nil {
+			hear = s.laneToHear(l, m.Call)
+		}
+		box := s.officeBox(hear)
+		box.Bytes = wire.AppendHeard(box.Bytes, m.Call)
+	}
 	if at := s.outAt(l, m.Call); at != nil {
 		ended, ok := outcomes[cause]
 		if !ok {
