Release calls of before the start also at offices that are named after the release came

A caller's release of a call of before our start goes to every office of the list (session/callers.go, callerReleased). An office of which the process does not know yet got none, while the caller was answered that its release was heard: after a restart with a list of long ago, with discovery down or silent, the call stood on there for nobody.

--- a/internal/service/races_test.go
+++ b/internal/service/races_test.go
@@ -1,6 +1,7 @@
 package service
 
 import (
+	"encoding/binary"
 	"encoding/json"
 	"io"
 	"log/slog"
@@ -28,6 +29,7 @@
 	items   []session.Arrival
 	listen  string
 	office  net.Listener
+	journal net.Listener
 	held    chan bool // where it is not nil, connects wait for it
 	conns   []*conn   // all that came up
 	closed  int       // connections whose end was played
@@ -50,9 +52,9 @@
 // playByHand starts the program. Its list has one office, at which the test answers.
 func playByHand(t *testing.T, with func(*Config)) *byHand {
 	t.Helper()
-	b := &byHand{t: t, listen: free(t), office: port(t)}
+	b := &byHand{t: t, listen: free(t), office: port(t), journal: port(t)}
 	var cfg Config
-	if err := json.Unmarshal([]byte(configuration(b.listen, "", port(t), b.office)), &cfg); err != nil {
+	if err := json.Unmarshal([]byte(configuration(b.listen, "", b.journal, b.office)), &cfg); err != nil {
 		t.Fatal(err)
 	}
 	if with != nil {
@@ -154,11 +156,14 @@
 }
 
 // accept is the office's end of the next connection to it.
-func (b *byHand) accept() *peer {
+func (b *byHand) accept() *peer { b.t.Helper(); return b.acceptAt(b.office) }
+
+// acceptAt is the far end of the next connection to an address.
+func (b *byHand) acceptAt(l net.Listener) *peer {
 	b.t.Helper()
 	var p *peer
 	b.during(func() {
-		c, err := b.office.Accept()
+		c, err := l.Accept()
 		p = newPeer(b.t, c, err)
 	})
 	return p
@@ -308,3 +313,43 @@
 	b.stepped(100 * time.Millisecond)
 	b.until("it is over", b.s.Done)
 }
+
+// A caller releases a call of before the start while the list, as the process knows it, lacks the office at which the call
+// stands: the office gets the release once it is named. Guards against a restart with a list of long ago, or with discovery down.
+// One that started after this process has no such call, and gets none.
+func TestReleaseBeforeTheOfficeIsNamed(t *testing.T) {
+	b := playByHand(t, nil)
+	first := b.accept()
+	list := b.acceptAt(b.journal)
+	caller, _ := b.dial(net.Dialer{})
+	b.during(func() {
+		caller.write(wire.ReleaseOf(9, wire.CauseNormal))
+		caller.want(wire.TypeHeard, 9)
+		first.want(wire.TypeRelease, 9)
+	})
+	late, cold := port(t), port(t)
+	name(t, list, 4, 2, late, 0)
+	name(t, list, 5, 3, cold, b.clock.Load()/1000+1)
+	server, after := b.acceptAt(late), b.acceptAt(cold)
+	b.during(func() { server.want(wire.TypeRelease, 9) })
+	for _, c := range b.conns {
+		_ = c.Close()
+	}
+	if all := after.rest(); len(all) > 0 {
+		t.Errorf("an office that started later got %v", all)
+	}
+}
+
+// name lets the journal tell of one office, as change number of the list.
+func name(t *testing.T, list *peer, number uint64, id uint32, at net.Listener, born int64) {
+	t.Helper()
+	address := at.Addr().(*net.TCPAddr)
+	b := binary.BigEndian.AppendUint32(nil, 9+27)
+	b = append(binary.BigEndian.AppendUint64(b, number), 2)
+	b = append(binary.BigEndian.AppendUint32(b, id), address.IP.To4()...)
+	b = append(binary.BigEndian.AppendUint16(b, uint16(address.Port)), 0, 0, 0, 0, 0)
+	b = binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint32(b, 1000), uint64(born))
+	if _, err := list.conn.Write(b); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/session/callers.go
+++ b/internal/session/callers.go
@@ -312,6 +312,9 @@
 	} else if _, known := s.over[m.Call]; !known {
 		// A call of before our own start: any office may have it, and those that have not pass it over.
 		s.over[m.Call] = s.now
+		if len(s.before) < maxBefore {
+			s.before[m.Call] = state.Ending{Cause: cause, At: s.now}
+		}
 		for _, o := range s.offices.All() {
 			if o.State != decide.Removed {
 				s.endAt(&o.Lane, m.Call, cause)
--- a/internal/session/journal.go
+++ b/internal/session/journal.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"maps"
+	"slices"
 
 	"pewterwheel/decide"
 	"pewterwheel/internal/membership"
@@ -124,7 +126,13 @@
 
 // change takes one event of the journal: the list, what it ends, and the module's view of it.
 func (s *Session) change(c wire.Change) {
+	fresh := slices.DeleteFunc(slices.Clone(c.Offices), func(o wire.Office) bool { return s.offices.Get(o.ID) != nil })
 	gone := s.offices.Apply(c)
+	for _, o := range fresh {
+		if o.Started < s.began { // calls of before our start may stand there
+			maps.Copy(s.offices.Get(o.ID).Ended, s.before)
+		}
+	}
 	e := decide.Event{Kind: decide.List, Form: decide.Delta}
 	if c.Whole {
 		e.Form = decide.Whole
@@ -150,8 +158,10 @@
 	}
 	for _, o := range c.Offices {
 		// A connection before the first set-up: releases of calls of before our start come on it.
-		if known := s.offices.Get(o.ID); known.State != decide.Removed && len(s.offices.All()) <= maxEager {
+		known := s.offices.Get(o.ID)
+		if known.State != decide.Removed && len(s.offices.All()) <= maxEager {
 			s.connect(&known.Lane)
 		}
+		s.redial(known)
 	}
 }
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -107,6 +107,8 @@
 	heldPart, callSize = 8, 1024
 	// maxEndings bounds the releases kept for an office until it is heard to take them.
 	maxEndings = 4096
+	// maxBefore bounds the releases of calls of before our start that are kept for offices that are named later.
+	maxBefore = 1024
 	// redialFirst and redialMost bound the pause between connects to an office at which calls stand.
 	redialFirst, redialMost = 100_000, 800_000
 	// lostFor is how long connects to an office with standing calls may be refused before these count as cut, and
@@ -198,6 +200,7 @@
 	calls   map[uint64]*state.Call
 	stands  map[uint64]*state.Standing
 	unsent  map[uint64]state.Ending // releases to callers, of whom none is connected
+	before  map[uint64]state.Ending // callers' releases of calls of before our start, for offices that are named later
 	over    map[uint64]int64        // ids of calls that ended, and when
 	// The most entries that these have had at a sweep, since they were last made anew.
 	mostOver, mostCalls, mostStands int
@@ -229,7 +232,7 @@
 		began: now, ends: make([]state.Ends, len(cfg.Settings.Classes)), set: cfg.Settings, classes: map[string]int{}, names: map[string]string{}, maxTries: set.MaxTries, maxHeld: cfg.Settings.Limits.MaxHeld,
 		maxCallers: max(16, cfg.Sockets/2), maxBytes: math.MaxInt64, dialLimit: cfg.Settings.Limits.Dial,
 		roles: map[state.Conn]any{}, calls: map[uint64]*state.Call{},
-		stands: map[uint64]*state.Standing{}, unsent: map[uint64]state.Ending{}, over: map[uint64]int64{},
+		stands: map[uint64]*state.Standing{}, unsent: map[uint64]state.Ending{}, before: map[uint64]state.Ending{}, over: map[uint64]int64{},
 		dials: map[uint64]*state.Lane{}, redials: map[uint64]*state.Office{}}
 	if s.dialLimit <= 0 {
 		s.dialLimit = 500_000
@@ -652,6 +655,7 @@
 	s.lanes.followed = shrunk(s.lanes.followed, &s.lanes.mostFollowed)
 	old := func(_ uint64, e state.Ending) bool { return s.now-e.At > remember }
 	maps.DeleteFunc(s.unsent, old)
+	maps.DeleteFunc(s.before, old)
 	for _, c := range s.callers {
 		maps.DeleteFunc(c.Unsure, func(_ uint64, e state.Ending) bool { return s.now-e.At > unsureFor })
 	}
