Listen for callers only once the second address is had

The engine listens on its addresses in order, and gives up all if one fails. The callers' came first: a process whose second address was somebody's listened for callers for a moment beside one that serves, got its new connections (the kernel gives them to the newest), and reset them (service/network.go, newNetwork). The second address comes first now.

With the order turned back TestWhoCannotBeAskedDoesNotListen prints 'it listened for callers'.

--- a/internal/service/network.go
+++ b/internal/service/network.go
@@ -42,10 +42,11 @@
 	// All peers together that read nothing must not fill memory.
 	unwritten := max(leastUnwritten, int(cfg.Limits.MemoryMB<<20)/2/sockets)
 	n := &network{queue: q, now: now, started: make(chan struct{})}
-	addresses := []string{cfg.Listen}
+	var addresses []string
 	if cfg.Control != "" {
 		addresses = append(addresses, cfg.Control)
 	}
+	addresses = append(addresses, cfg.Listen) // last, for from then on it has the new callers of one that serves
 	n.engine = nbio.NewEngine(nbio.Config{Network: "tcp4", Addrs: addresses, Listen: listener(cfg.Control, cfg.Beside, &n.control, n.listens),
 		NPoller: 1, ReadBufferSize: readBuffer, MaxWriteBufferSize: unwritten})
 	// The engine calls this before it reads from the connection, so nothing is queued ahead of it.
--- a/internal/service/races_test.go
+++ b/internal/service/races_test.go
@@ -353,3 +353,25 @@
 		t.Fatal(err)
 	}
 }
+
+// A process whose second address is somebody's cannot serve, and never listens for callers: for a moment those of the process
+// that serves would come to it, and be reset.
+func TestWhoCannotBeAskedDoesNotListen(t *testing.T) {
+	var cfg Config
+	taken, listen := port(t), free(t)
+	if err := json.Unmarshal([]byte(configuration(listen, taken.Addr().String(), port(t), port(t))), &cfg); err != nil {
+		t.Fatal(err)
+	}
+	n := newNetwork(cfg, newQueue(32), func() int64 { return 0 })
+	listened, listens := false, n.engine.Listen
+	n.engine.Listen = func(network, address string) (net.Listener, error) {
+		listened = listened || address == listen
+		return listens(network, address)
+	}
+	if err := n.start(); err == nil {
+		t.Fatal("it started")
+	}
+	if listened {
+		t.Error("it listened for callers")
+	}
+}
