Share out the descriptors, and close on no caller whose set-up has come unread

Seen: a process with the `sockets` limit of its configuration as its real limit, discovery down, and 360 idle clients on both addresses. With 64 descriptors it served 0 of 30 calls of a usual caller; in nine processes (64, 128, 256 descriptors; discovery refused, blackholed, silent) 50 to 80 set-ups were lost, most 0 ms after they had been written, on two connections in a row.

--- a/internal/service/conn.go
+++ b/internal/service/conn.go
@@ -14,6 +14,7 @@
 	ours      bool         // opened from here
 	trusted   atomic.Bool  // a usual caller's
 	unwritten atomic.Int64 // bytes handed to the engine that the system has not taken
+	pending   atomic.Int64 // reads under way, and those that the loop has not been through yet
 }
 
 // connOf returns the connection that onOpen made; nil: it was never opened.
@@ -38,12 +39,13 @@
 // written notes bytes that the system has taken.
 func (c *conn) written(n int) { c.unwritten.Add(-int64(n)) }
 
-// Waiting tells whether bytes have come that nobody has read, or some that were written have not left.
+// Waiting tells whether bytes have come that nobody has looked at, unread or queued for the loop, or some that were written
+// have not left.
 func (c *conn) Waiting() bool {
 	if c.unwritten.Load() > 0 {
 		return true
 	}
 	// Where the connection has ended, its descriptor may be another's by now; its end is told next either way.
 	unread, err := unix.IoctlGetInt(c.Hash(), unix.TIOCINQ)
-	return err == nil && unread > 0
+	return err == nil && unread > 0 || c.pending.Load() > 0 // in this order: what is read is pending before that
 }
--- a/internal/service/listen.go
+++ b/internal/service/listen.go
@@ -66,6 +66,33 @@
 	return err
 }
 
+// patient is a listener that hands on what it has taken in only once a further descriptor is free. Guards against the engine,
+// which copies the descriptor of each connection and closes the connection unread where it cannot.
+type patient struct{ net.Listener }
+
+func patiently(listen func(network, address string) (net.Listener, error)) func(network, address string) (net.Listener, error) {
+	return func(network, address string) (net.Listener, error) {
+		l, err := listen(network, address)
+		return patient{l}, err
+	}
+}
+
+// Accept takes in the next connection.
+func (l patient) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	for err == nil {
+		fd, short := unix.Open(os.DevNull, unix.O_RDONLY|unix.O_CLOEXEC, 0)
+		if short == nil {
+			_ = unix.Close(fd)
+		}
+		if !errors.Is(short, unix.EMFILE) && !errors.Is(short, unix.ENFILE) {
+			break
+		}
+		time.Sleep(acceptPause)
+	}
+	return c, err
+}
+
 // leaving is a listener that can be left: who waits to be taken in is, and then nobody can come any more.
 type leaving struct {
 	*net.TCPListener
--- a/internal/service/network.go
+++ b/internal/service/network.go
@@ -15,9 +15,9 @@
 	readBuffer = 64 << 10
 	// leastUnwritten is the least that may wait for a peer that does not read; past its bound the connection ends.
 	leastUnwritten = 64 << 10
-	// dialLimit is when a connect that has not come up is given back to the system. The session gives up on
-	// it sooner, by the time in its settings.
-	dialLimit = 2 * time.Second
+	// dialMargin is how long after the session has given up on a connect it is given back to the system: later, so that the
+	// session's word on it holds, and soon, for each holds a descriptor, and the next begins meanwhile.
+	dialMargin = 100 * time.Millisecond
 	// acceptPause is how long after a failed accept the next one comes.
 	acceptPause = 10 * time.Millisecond
 )
@@ -27,12 +27,13 @@
 
 // network is the sockets: nbio's engine, whose callbacks only stamp and queue what arrived.
 type network struct {
-	engine  *nbio.Engine
-	queue   *queue
-	now     func() int64
-	control string // the second address, as the system writes it
-	callers *leaving
-	started chan struct{} // closed once the engine runs
+	engine    *nbio.Engine
+	queue     *queue
+	now       func() int64
+	control   string // the second address, as the system writes it
+	callers   *leaving
+	dialLimit time.Duration
+	started   chan struct{} // closed once the engine runs
 }
 
 func newNetwork(cfg Config, q *queue, now func() int64) *network {
@@ -41,12 +42,12 @@
 	nbio.MaxOpenFiles = sockets + 64 // the engine keeps a table of that size
 	// All peers together that read nothing must not fill memory.
 	unwritten := max(leastUnwritten, int(cfg.Limits.MemoryMB<<20)/2/sockets)
-	n := &network{queue: q, now: now, started: make(chan struct{})}
+	n := &network{queue: q, now: now, started: make(chan struct{}), dialLimit: cfg.Settings.DialLimit() + dialMargin}
 	addresses := []string{cfg.Listen}
 	if cfg.Control != "" {
 		addresses = append(addresses, cfg.Control)
 	}
-	n.engine = nbio.NewEngine(nbio.Config{Network: "tcp4", Addrs: addresses, Listen: listener(cfg.Control, cfg.Beside, &n.control, n.listens),
+	n.engine = nbio.NewEngine(nbio.Config{Network: "tcp4", Addrs: addresses, Listen: patiently(listener(cfg.Control, cfg.Beside, &n.control, n.listens)),
 		NPoller: 1, ReadBufferSize: readBuffer, MaxWriteBufferSize: unwritten})
 	// The engine calls this before it reads from the connection, so nothing is queued ahead of it.
 	n.engine.OnOpen(func(c *nbio.Conn) {
@@ -63,6 +64,15 @@
 	})
 	// The engine tries again at once. Guards against a full core while descriptors are short.
 	n.engine.OnAcceptError(func(error) { time.Sleep(acceptPause) })
+	// Called round each read, of the one goroutine that reads: what it has in hands waits, too.
+	buf := make([]byte, readBuffer)
+	var lent []byte
+	n.engine.OnReadBufferAlloc(func(c *nbio.Conn) *[]byte {
+		connOf(c).pending.Add(1)
+		lent = buf
+		return &lent
+	})
+	n.engine.OnReadBufferFree(func(c *nbio.Conn, _ *[]byte) { connOf(c).pending.Add(-1) })
 	n.engine.OnData(func(c *nbio.Conn, data []byte) {
 		q.put(session.Arrival{Kind: session.Data, At: now(), Conn: connOf(c), Data: data})
 	})
@@ -105,7 +115,7 @@
 }
 
 func (n *network) dial(address string, id uint64) error {
-	std, err := net.DialTimeout("tcp4", address, dialLimit)
+	std, err := net.DialTimeout("tcp4", address, n.dialLimit)
 	if err != nil {
 		return err // it names the address
 	}
--- a/internal/service/queue.go
+++ b/internal/service/queue.go
@@ -16,9 +16,6 @@
 	// caller is not given up for a jump of its calls either: whoever reads waits for the loop, and so does the caller.
 	perConn     = 2 * readBuffer
 	arrivalSize = 256
-	// maxAccepted bounds the new connections that wait for the loop. Further ones wait in the listener's backlog,
-	// where they take no descriptors.
-	maxAccepted = 16
 	// queuePart of the memory limit is what may wait for the loop in all; leastQueue where that is small.
 	queuePart, leastQueue = 1.0 / 16, 1 << 20
 )
@@ -31,6 +28,8 @@
 	most     int // bytes
 	bytes    int
 	accepted map[session.ArrivalKind]int
+	taken    int                // most of accepted of one kind; see session.Taken
+	places   int                // callers that may be accepted until the loop has been through what it took; see session.Places
 	waiting  map[state.Conn]int // bytes of each connection; over perConn: given up
 	wake     chan struct{}
 	// What came is copied behind each other into one slab, and is good until the next take; by turns with the one that
@@ -43,8 +42,8 @@
 // making it anew for each round of a jump, and against keeping it for good.
 const maxSlab, maxSpare = 256 << 10, 64
 
-func newQueue(memoryMB int64) *queue {
-	q := &queue{wake: make(chan struct{}, 1), waiting: map[state.Conn]int{}, accepted: map[session.ArrivalKind]int{},
+func newQueue(memoryMB int64, sockets int) *queue {
+	q := &queue{wake: make(chan struct{}, 1), waiting: map[state.Conn]int{}, accepted: map[session.ArrivalKind]int{}, taken: session.Taken(sockets), places: session.Taken(sockets),
 		most: max(leastQueue, int(queuePart*float64(memoryMB<<20)))}
 	q.room.L = &q.mu
 	return q
@@ -70,6 +69,9 @@
 		}
 		size := len(a.Data) + arrivalSize
 		q.waiting[a.Conn] = waiting + size
+		if c, _ := a.Conn.(*conn); c != nil {
+			c.pending.Add(1)
+		}
 		if waiting+size > most {
 			a.Kind, a.Data = session.Flooded, nil
 		}
@@ -80,7 +82,7 @@
 			a.Data = q.slab[from:len(q.slab):len(q.slab)]
 		}
 	case session.Accepted, session.Asked: // each alone: callers by hundreds do not keep anyone off the second address
-		for q.accepted[a.Kind] >= maxAccepted {
+		for q.accepted[a.Kind] >= q.taken || a.Kind == session.Accepted && q.accepted[a.Kind] >= q.places {
 			q.room.Wait()
 		}
 		q.accepted[a.Kind]++
@@ -93,6 +95,19 @@
 	}
 }
 
+// done tells that the loop has been through what it took, and has places for so many more callers.
+func (q *queue) done(items []session.Arrival, places int) {
+	for _, a := range items {
+		if c, _ := a.Conn.(*conn); c != nil && (a.Kind == session.Data || a.Kind == session.Flooded) {
+			c.pending.Add(-1)
+		}
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.places = places
+	q.room.Broadcast()
+}
+
 // take returns all that waits, whose data is good until the next take; buf is reused for what comes next.
 func (q *queue) take(buf []session.Arrival) []session.Arrival {
 	q.mu.Lock()
@@ -110,6 +125,7 @@
 	}
 	q.slab, q.reading = q.reading[:0], q.slab
 	clear(q.accepted)
+	q.places = 0
 	clear(q.waiting)
 	q.room.Broadcast()
 	return items
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -38,7 +38,7 @@
 	if now == nil {
 		now = Clock()
 	}
-	q := newQueue(cfg.Limits.MemoryMB)
+	q := newQueue(cfg.Limits.MemoryMB, cfg.Limits.Sockets)
 	network := newNetwork(cfg, q, now)
 	sc, err := cfg.Session()
 	if err != nil {
@@ -112,6 +112,7 @@
 		items = q.take(items)
 		began := now()
 		s.Step(began, items)
+		q.done(items, s.Places(q.taken))
 		s.Spent(now() - began)
 	}
 }
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -235,7 +235,7 @@
 
 // One sender cannot fill the queue for all, and new connections wait outside while the loop is behind.
 func TestQueueBoundsEachSender(t *testing.T) {
-	q := newQueue(32)
+	q := newQueue(32, 256)
 	loud, quiet := &conn{}, &conn{}
 	for range 100 {
 		q.put(session.Arrival{Kind: session.Data, Conn: loud, Data: make([]byte, readBuffer)})
@@ -293,10 +293,11 @@
 	if n := len(q.take(nil)); n > perConn/arrivalSize+1 {
 		t.Errorf("%d single bytes of one sender were queued", n)
 	}
-	for range maxAccepted {
+	q.done(nil, q.taken)
+	for range q.taken {
 		q.put(session.Arrival{Kind: session.Accepted})
 	}
-	for range maxAccepted { // callers' connections do not count there
+	for range q.taken { // callers' connections do not count there
 		q.put(session.Arrival{Kind: session.Asked})
 	}
 	put := make(chan bool)
@@ -309,6 +310,6 @@
 		t.Error("one more connection was queued while the loop was behind")
 	case <-time.After(50 * time.Millisecond):
 	}
-	q.take(items)
+	q.done(q.take(items), 1)
 	<-put
 }
--- a/internal/session/callers.go
+++ b/internal/session/callers.go
@@ -1,6 +1,7 @@
 package session
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strconv"
@@ -13,7 +14,7 @@
 )
 
 func (s *Session) accepted(a Arrival) {
-	if len(s.callers) >= s.maxCallers && !s.closeQuiet() {
+	if len(s.callers) >= s.mostCallers() && !s.closeQuiet() {
 		s.Counters[state.TurnedOut]++
 		s.log.Warn("too many callers", "callers", len(s.callers))
 		_ = a.Conn.Close() // no set-up was read from it
@@ -58,15 +59,24 @@
 }
 
 // closeQuiet makes room by closing a caller's connection with no open set-up: the oldest that has asked for
-// nothing yet, else that which has been quiet for longest. Guards against running out of descriptors, of which the
+// nothing yet, else that which has been quiet for longest; one that has just come only where there is no other. Guards against running out of descriptors, of which the
 // offices need theirs, and against mute connections by hundreds taking the places of usual callers.
 func (s *Session) closeQuiet() bool {
 	var quiet *state.Caller
+	rank := func(c *state.Caller) int {
+		switch {
+		case s.now-c.Since < justCome:
+			return 2
+		case c.Good:
+			return 1
+		}
+		return 0
+	}
 	for _, c := range s.callers {
-		if len(c.Open) > 0 || quiet != nil && c.Good && !quiet.Good {
+		if len(c.Open) > 0 || quiet != nil && cmp.Or(cmp.Compare(rank(quiet), rank(c)), cmp.Compare(quiet.Quiet, c.Quiet)) <= 0 {
 			continue
 		}
-		if (quiet == nil || quiet.Good && !c.Good || c.Quiet < quiet.Quiet) && !c.Conn.Waiting() {
+		if !c.Conn.Waiting() {
 			quiet = c
 		}
 	}
--- a/internal/session/control.go
+++ b/internal/session/control.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// maxAskers bounds the connections of the second address. A new one takes the place of the oldest: whoever asks
+	// mostAskers bounds the connections of the second address. A new one takes the place of the oldest: whoever asks
 	// waits for a second at most, and some connect and ask for nothing.
-	maxAskers = 16
+	mostAskers = 16
 	// askWithin is how long one may take to ask.
 	askWithin = 1_500_000
 	// readyAnyhow is how long after the start the program says that it serves though the journal has not come up:
@@ -24,7 +24,7 @@
 
 // asked takes in a connection of the second address.
 func (s *Session) asked(a Arrival) {
-	if len(s.askers) >= maxAskers {
+	if len(s.askers) >= s.maxAskers {
 		s.drop(s.askers[0].Conn, errAsk)
 	}
 	asker := &state.Asker{Conn: a.Conn, Since: s.now}
--- a/internal/session/journal.go
+++ b/internal/session/journal.go
@@ -150,7 +150,7 @@
 	}
 	for _, o := range c.Offices {
 		// A connection before the first set-up: releases of calls of before our start come on it.
-		if known := s.offices.Get(o.ID); known.State != decide.Removed && len(s.offices.All()) <= maxEager {
+		if known := s.offices.Get(o.ID); known.State != decide.Removed && len(s.offices.All()) <= s.maxEager {
 			s.connect(&known.Lane)
 		}
 	}
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -114,8 +114,8 @@
 	// it only after up to 7 s.
 	lostFor   = 2_500_000
 	silentFor = 4_500_000
-	// maxEager offices have a connection each from when they are first named; of longer lists each has it from its first
-	// set-up. Guards against thousands of connects at once, most of which nobody will need.
+	// maxEager offices have a connection each from when they are first named, fewer where descriptors are short; of longer
+	// lists each has it from its first set-up. Guards against thousands of connects at once, most of which nobody will need.
 	maxEager = 512
 	// remember is how long ids of calls that are over are known, to tell a crossing release from that of a
 	// call of before our start.
@@ -186,6 +186,10 @@
 	maxBytes   int64 // of open set-ups
 	bytes      int64
 	maxCallers int
+	maxAskers  int
+	room       int // descriptors for callers and offices together
+	maxEager   int
+	fullSince  int64 // since when there has been no place for a new caller; 0: there is one
 	dialLimit  int64
 	longest    int64 // the longest deadline of a class
 
@@ -227,13 +231,11 @@
 	}
 	s := &Session{net: net, node: node, log: log, now: now, wheel: state.NewWheel(wheelTick, now),
 		began: now, ends: make([]state.Ends, len(cfg.Settings.Classes)), set: cfg.Settings, classes: map[string]int{}, names: map[string]string{}, maxTries: set.MaxTries, maxHeld: cfg.Settings.Limits.MaxHeld,
-		maxCallers: max(16, cfg.Sockets/2), maxBytes: math.MaxInt64, dialLimit: cfg.Settings.Limits.Dial,
+		maxCallers: max(leastCallers, cfg.Sockets/2), maxAskers: askers(cfg.Sockets), room: cfg.Sockets - reserved(cfg.Sockets), maxBytes: math.MaxInt64, dialLimit: cfg.Settings.DialLimit().Microseconds(),
 		roles: map[state.Conn]any{}, calls: map[uint64]*state.Call{},
 		stands: map[uint64]*state.Standing{}, unsent: map[uint64]state.Ending{}, over: map[uint64]int64{},
 		dials: map[uint64]*state.Lane{}, redials: map[uint64]*state.Office{}}
-	if s.dialLimit <= 0 {
-		s.dialLimit = 500_000
-	}
+	s.maxEager = min(maxEager, s.room-cfg.Sockets/callersPart)
 	s.lanes.init(cfg)
 	if cfg.Memory > 0 {
 		s.maxBytes = cfg.Memory / heldPart
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"pewterwheel/decide"
 )
@@ -61,6 +62,14 @@
 var scopes = map[string]decide.Scope{"": decide.ScopeAll, "all": decide.ScopeAll, "zone": decide.ScopeZone,
 	"cell": decide.ScopeCell}
 
+// DialLimit is how long a connect may take.
+func (r *Settings) DialLimit() time.Duration {
+	if r.Limits.Dial <= 0 {
+		return 500 * time.Millisecond
+	}
+	return time.Duration(r.Limits.Dial) * time.Microsecond
+}
+
 // Decide gives the part of the settings that the decisions need.
 func (r *Settings) Decide() (decide.Settings, error) {
 	s := decide.Settings{Instances: r.Balancers, OverShare: r.OverShare, Resend: r.Info.Resend,
