--- a/internal/service/network.go
+++ b/internal/service/network.go
@@ -19,8 +19,6 @@
 	// dialBeyond is how long after the time in the settings, by which the session gives up on a connect, one that has not
 	// come up is given back to the system. Guards against descriptors for several connects to each office that is away.
 	dialBeyond = 50 * time.Millisecond
-	// dialLimit is that time where the settings name none.
-	dialLimit = 500 * time.Millisecond
 	// acceptPause is how long after a failed accept the next one comes.
 	acceptPause = 10 * time.Millisecond
 )
@@ -45,17 +43,13 @@
 	nbio.MaxOpenFiles = sockets + 64 // the engine keeps a table of that size
 	// All peers together that read nothing must not fill memory.
 	unwritten := max(leastUnwritten, int(cfg.Limits.MemoryMB<<20)/2/sockets)
-	n := &network{queue: q, now: now, started: make(chan struct{}), connect: dialLimit}
-	if limit := cfg.Settings.Limits.Dial; limit > 0 {
-		n.connect = time.Duration(limit) * time.Microsecond
-	}
-	n.connect += dialBeyond
+	n := &network{queue: q, now: now, started: make(chan struct{}), connect: cfg.Settings.DialLimit() + dialBeyond}
 	var addresses []string
 	if cfg.Control != "" {
 		addresses = append(addresses, cfg.Control)
 	}
 	addresses = append(addresses, cfg.Listen) // last, for from then on it has the new callers of one that serves
-	n.engine = nbio.NewEngine(nbio.Config{Network: "tcp4", Addrs: addresses, Listen: listener(cfg.Control, cfg.Beside, &n.control, n.listens),
+	n.engine = nbio.NewEngine(nbio.Config{Network: "tcp4", Addrs: addresses, Listen: patiently(listener(cfg.Control, cfg.Beside, &n.control, n.listens)),
 		NPoller: 1, ReadBufferSize: readBuffer, MaxWriteBufferSize: unwritten})
 	// The engine calls this before it reads from the connection, so nothing is queued ahead of it.
 	n.engine.OnOpen(func(c *nbio.Conn) {
