Release again what may stand at an office when the set-up that came after it was not written

Cause: put (session/offices.go) forgets that the office has not heard the release of an earlier attempt, since the new attempt would be released in its place; but one whose write fails is not released when the connection ends (officeLost), so neither was. The earlier attempt's answer was lost with its connection, and its call stood there for nobody. Ruled out: calls given up while their answer crossed, and what maxEndings drops (under 4096 here).

An attempt keeps what it took the place of, and officeLost puts it back where the attempt was not written.

--- a/internal/session/offices.go
+++ b/internal/session/offices.go
@@ -92,6 +92,7 @@
 	// An earlier attempt there may have been given up unheard. Guards against taking the end of the call that
 	// stands for an answer to that.
 	l := at.On
+	at.Over, at.Unheard = l.To.Ended[at.Call.ID]
 	delete(l.To.Ended, at.Call.ID)
 	l.Out[at.Call.ID] = at
 	box := s.officeBox(l)
@@ -434,6 +435,9 @@
 	for _, at := range inOrder(l.Out) {
 		if at.Failed {
 			s.Counters[state.Unreached]++
+			if at.Unheard { // the earlier one may stand there all the same
+				o.Ended[at.Call.ID] = at.Over
+			}
 			s.ended(at, decide.Unreached)
 			continue
 		}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -135,6 +135,9 @@
 	Since  int64 // when it was sent, or queued
 	Queued bool  // waits for a connection: nothing of it has reached the office
 	Failed bool  // could not be written: nothing of it has left
+	// An earlier attempt at the same office was called off, and had not been heard when this one was put to it.
+	Unheard bool
+	Over    Ending // of the earlier one
 }
 
 // Standing is a call that stands.
