Force resets at each point of an attempt, and hold the guard and the one answer

On real sockets: reset with the set-up unread in the socket, read, mid-answer, and told by the office, also with the answer of the first attempt behind it; the next attempt comes 200 ms after it was known and not before, a second answer is passed by, nothing stays open. A caller that comes back under a new id after it was turned down has its answer.

--- a/internal/service/broken_test.go
+++ b/internal/service/broken_test.go
@@ -13,6 +13,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"pewterwheel/internal/standin"
 	"pewterwheel/internal/wire"
 )
@@ -565,3 +567,114 @@
 	o.say(wire.ReleaseOf(1, wire.CauseNormal)) // the end of the call is told all the same
 	caller.await(1, wire.TypeRelease, 1)
 }
+
+// resets break an attempt, and say when: before that no further attempt may begin until the guard time has passed.
+var resets = []struct {
+	name   string
+	do     func(t *testing.T, o *tape, call uint64)
+	unread bool // the office has not read the set-up
+	stays  bool // the connection does
+}{
+	{name: "the set-up is unread", unread: true, do: func(t *testing.T, o *tape, _ uint64) {
+		raw, err := o.conn.(*net.TCPConn).SyscallConn()
+		if err != nil {
+			t.Fatal(err)
+		}
+		eventually(t, "a set-up waits to be read", func() bool {
+			n := 0
+			_ = raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
+			return n > 0
+		})
+		abort(o)
+	}},
+	{name: "it is read", do: func(_ *testing.T, o *tape, _ uint64) { abort(o) }},
+	{name: "mid-answer", do: func(_ *testing.T, o *tape, call uint64) {
+		o.say(raw(wire.TypeAnswer, call, 30, "\x3d\x00\x04go"))
+		abort(o)
+	}},
+	{name: "the office says that it broke", stays: true, do: func(_ *testing.T, o *tape, call uint64) {
+		o.say(wire.ReleaseOf(call, wire.CauseCut))
+	}},
+	{name: "the office says so, and answers all the same", stays: true, do: func(_ *testing.T, o *tape, call uint64) {
+		o.say(wire.ReleaseOf(call, wire.CauseCut), answer(call, "of the first"))
+	}},
+}
+
+// abort resets a connection.
+func abort(o *tape) {
+	_ = o.conn.(*net.TCPConn).SetLinger(0)
+	_ = o.conn.Close()
+}
+
+// Wherever an attempt is reset, the next one comes after the guard time and not before, and the caller has one answer.
+func TestResetsAreGuarded(t *testing.T) {
+	const guard = 200 * time.Millisecond
+	for _, c := range resets {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			l := port(t)
+			b := newBench(t, limits{memory: 48, sockets: 256}, l)
+			caller := b.caller()
+			conn, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			o := &tape{t: t, conn: conn} // it reads nothing yet
+			caller.say(setUp(1))
+			if !c.unread {
+				go o.read()
+				o.await(1, wire.TypeSetUp, 1)
+			}
+			before := time.Now()
+			c.do(t, o, 1)
+			nth := 2
+			if !c.stays {
+				if o, nth = play(t, l).next(), 1; o == nil {
+					t.Fatal("it does not connect again")
+				}
+			}
+			again := o.await(1, wire.TypeSetUp, nth)
+			if early := again.at.Sub(before); early < guard {
+				t.Errorf("the set-up came again %v after it was reset", early)
+			}
+			o.say(answer(1, "good"), answer(1, "second"))
+			caller.await(1, wire.TypeAnswer, 1)
+			caller.say(wire.ReleaseOf(1, wire.CauseNormal))
+			caller.await(1, wire.TypeHeard, 1)
+			if got := caller.finals(1); len(got) != 1 || got[0] != "good" {
+				t.Errorf("its caller had %q", got)
+			}
+			o.await(1, wire.TypeRelease, 1)
+			eventually(t, "nothing is open", func() bool { return b.pending() == 0 })
+		})
+	}
+}
+
+// A caller whose call was refused comes back at once under a new id, and has its answer.
+func TestRetryUnderANewID(t *testing.T) {
+	office := play(t, port(t))
+	b := newBench(t, limits{memory: 48, sockets: 256}, office)
+	o, caller := office.next(), b.caller()
+	b.warm(caller, 2, o)
+	m := setUp(1)
+	m.Params[1] = wire.Text(wire.ParamWait, "1000")
+	caller.say(m)
+	for nth := 1; len(caller.finals(1)) == 0; nth++ { // full, as often as it comes
+		eventually(t, "the office has the call again, or it has its answer", func() bool {
+			return len(o.of(1, wire.TypeSetUp)) >= nth || len(caller.finals(1)) > 0
+		})
+		o.say(wire.ReleaseOf(1, wire.CauseFull))
+	}
+	caller.say(setUp(2))
+	o.await(2, wire.TypeSetUp, 1)
+	o.say(answer(2, "good"))
+	caller.await(2, wire.TypeAnswer, 1)
+	caller.say(wire.ReleaseOf(2, wire.CauseNormal))
+	caller.fence()
+	for call, want := range map[uint64]int{1: 1, 2: 1} {
+		if got := caller.finals(call); len(got) != want {
+			t.Errorf("call %d had %q", call, got)
+		}
+	}
+	eventually(t, "nothing is open", func() bool { return b.pending() == 0 })
+}
