--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -141,6 +141,9 @@
 	Failed bool  // could not be written: nothing of it has left
 	Until  int64 // nothing of it may leave from then on; 0: no such time
 	Stuck  bool  // not all that was written with it had left then
+	// An earlier attempt at the same office was called off, and had not been heard when this one was put to it.
+	Unheard bool
+	Over    Ending // of the earlier one
 }
 
 // Standing is a call that stands.
