Close no connection while answers on it have not reached its caller's system

Conn.Waiting counted what the engine holds, not what lies in the system's send buffer. Where a caller reads slowly, its connection was closed as idle after SIGTERM with answers in that buffer; if it then said something, like the release of a call, the system answered with a reset and threw the answers away (service/conn.go). TIOCOUTQ is asked, too; where a system does not know it, all is as before.

Without it TestAnswersReachASlowReader prints 'waiting for message 9 of call 1: connection reset by peer'. Beside it a test that plays set-ups before, with and up to 0.6 s after SIGTERM, with further signals and a test between them, and checks every answer's bytes.

--- a/internal/service/conn.go
+++ b/internal/service/conn.go
@@ -45,6 +45,10 @@
 	if c.unwritten.Load() > 0 {
 		return true
 	}
+	// What the peer's system has not taken yet is lost if anything more comes on a connection that was closed.
+	if unsent, err := unix.IoctlGetInt(c.Hash(), unix.TIOCOUTQ); err == nil && unsent > 0 {
+		return true
+	}
 	// Where the connection has ended, its descriptor may be another's by now; its end is told next either way.
 	unread, err := unix.IoctlGetInt(c.Hash(), unix.TIOCINQ)
 	return err == nil && unread > 0 || c.queue.inHand.Load() == c.Conn || c.queue.holds(c)
--- a/internal/service/races_test.go
+++ b/internal/service/races_test.go
@@ -33,6 +33,8 @@
 	held    chan bool // where it is not nil, connects wait for it
 	conns   []*conn   // all that came up
 	closed  int       // connections whose end was played
+	stopped int64     // when SIGTERM came
+	pace    int64     // how much time passes in each step while peers talk
 }
 
 // Dial opens a connection as the network does, once the test lets it.
@@ -109,12 +111,13 @@
 	eventually(b.t, what, func() bool { b.step(); return is() })
 }
 
-// during plays what comes while peers talk; no time passes.
+// during plays what comes while peers talk; time passes by the pace alone.
 func (b *byHand) during(talk func()) {
 	b.t.Helper()
 	done := make(chan bool)
 	go func() { defer close(done); talk() }()
 	for over := false; !over; b.step() {
+		b.clock.Add(b.pace)
 		select {
 		case <-done:
 			over = true
@@ -191,6 +194,7 @@
 
 // stop sends SIGTERM.
 func (b *byHand) stop() {
+	b.stopped = b.clock.Load()
 	b.q.put(signalled(syscall.SIGTERM, nil))
 	b.step()
 }
@@ -310,8 +314,7 @@
 		server.write(answerTo(7))
 		p.want(wire.TypeAnswer, 7)
 	})
-	b.stepped(100 * time.Millisecond)
-	b.until("it is over", b.s.Done)
+	b.until("it is over", func() bool { b.stepped(5 * time.Millisecond); return b.s.Done() })
 }
 
 // A caller releases a call of before the start while the list, as the process knows it, lacks the office at which the call
--- a/internal/service/shutdown_test.go
+++ b/internal/service/shutdown_test.go
@@ -1,10 +1,17 @@
 package service
 
 import (
+	"bytes"
+	"encoding/binary"
+	"errors"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
+	"pewterwheel/internal/state"
 	"pewterwheel/internal/wire"
 )
 
@@ -40,6 +47,27 @@
 	return all
 }
 
+// next reads the next message of a type.
+func (p *peer) next(kind wire.Type) wire.Message {
+	p.t.Helper()
+	for chunk := make([]byte, 4096); ; {
+		m, n, err := wire.Next(p.buf)
+		if err != nil {
+			p.t.Fatal(err)
+		}
+		if p.buf = p.buf[n:]; n > 0 && m.Type == kind {
+			return m
+		}
+		if n > 0 {
+			continue
+		}
+		if n, err = p.conn.Read(chunk); err != nil {
+			p.t.Fatalf("waiting for a message %d: %v", kind, err)
+		}
+		p.buf = append(p.buf, chunk[:n]...)
+	}
+}
+
 func has(all []wire.Message, kind wire.Type, call uint64) bool {
 	for _, m := range all {
 		if m.Type == kind && m.Call == call {
@@ -109,3 +137,120 @@
 	b.queued(1)
 	b.step()
 }
+
+// Set-ups come before SIGTERM, with it, and up to 0.6 s after it, on connections of before and on new ones, the last in one read
+// with the end of what their caller has to say, and the office answers them only then: each has its one answer, unchanged. Then
+// the connections end, and the program does. Further signals, and what staff asks for, change nothing of that.
+func TestSetUpsRoundSIGTERM(t *testing.T) {
+	b := playByHand(t, nil)
+	server := b.accept()
+	early, _ := b.dial(net.Dialer{})
+	for id := range uint64(30) { // of which it learns how much the office takes
+		b.call(100+id, server, early)
+		b.stepped(100 * time.Millisecond)
+	}
+	early.write(setUp(1))
+	b.tell(early, setUp(2))
+	early.write(setUp(3)) // comes after SIGTERM, whatever the queue has of it
+	b.queued(1)
+	held := b.q.take(b.items)
+	b.stop()
+	b.play(held)
+	b.stepped(200 * time.Millisecond)
+	b.q.put(signalled(syscall.SIGTERM, nil)) // a second one puts nothing off
+	b.q.put(signalled(syscall.SIGHUP, func() (Config, error) { return Config{}, errors.New("no file") }))
+	b.stepped(200 * time.Millisecond)
+	late, _ := b.dial(net.Dialer{})
+	b.stepped(200 * time.Millisecond)
+	text, err := setUp(4).Append(nil)
+	if err == nil {
+		text, err = setUp(5).Append(text) // two in one write, with the test that the front sends
+	}
+	if err == nil {
+		text, err = wire.Message{Type: wire.TypeTest, Call: 6}.Append(text)
+	}
+	if err == nil {
+		_, err = late.conn.Write(text)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.tell(early, setUp(7))
+	b.during(func() {
+		if m := late.want(wire.TypeTested, 6); m.Cause() != 0 {
+			t.Errorf("a test gave %+v after SIGTERM", m)
+		}
+	})
+	b.stepped(700 * time.Millisecond)
+	if b.s.Done() {
+		t.Error("it is done with set-ups open")
+	}
+	b.pace = 1000
+	b.during(func() {
+		for range 6 {
+			m := answerTo(server.next(wire.TypeSetUp).Call)
+			m.Params[0].Value = binary.BigEndian.AppendUint64(nil, m.Call)
+			server.write(m)
+		}
+	})
+	b.until("the connections end", func() bool { b.stepped(5 * time.Millisecond); return b.s.Done() })
+	if at := b.clock.Load() - b.stopped; at > 3_000_000 {
+		t.Errorf("it ended %d us after SIGTERM", at)
+	}
+	b.over()
+	for p, ids := range map[*peer][]uint64{early: {1, 2, 3, 7}, late: {4, 5}} {
+		got := map[uint64]int{}
+		for _, m := range p.rest() {
+			if d, _ := m.Get(wire.ParamDescription); m.Type != wire.TypeAnswer || !bytes.Equal(d, binary.BigEndian.AppendUint64(nil, m.Call)) {
+				t.Errorf("a caller got %+v", m)
+			}
+			got[m.Call]++
+		}
+		for _, id := range ids {
+			if got[id] != 1 {
+				t.Errorf("call %d had %d answers", id, got[id])
+			}
+			delete(got, id)
+		}
+		if len(got) > 0 {
+			t.Errorf("a caller got answers to others' calls: %v", got)
+		}
+	}
+}
+
+// Answers lie in the system's buffers, for a caller that reads slowly, when the callers' connections are ended after SIGTERM,
+// and the caller says something more before it reads on: it gets all of them, whole. Guards against the reset with which
+// the system answers what comes on a connection that was closed: it takes what was not sent yet with it.
+func TestAnswersReachASlowReader(t *testing.T) {
+	b := playByHand(t, nil)
+	server := b.accept()
+	slow, own := b.dial(net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
+		return onSocket(c, func(fd int) error { return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, 4096) })
+	}})
+	const calls, size = 8, 8 << 10
+	b.during(func() {
+		for id := range uint64(calls) {
+			slow.write(setUp(id + 1))
+			server.want(wire.TypeSetUp, id+1)
+			m := answerTo(id + 1)
+			m.Params[0].Value = make([]byte, size)
+			server.write(m)
+		}
+	})
+	b.until("all are answered", func() bool { return b.s.Counters[state.AnswersOut] == calls })
+	if left, _ := unix.IoctlGetInt(own.Hash(), unix.TIOCOUTQ); left == 0 || own.unwritten.Load() > 0 {
+		t.Fatalf("%d bytes are in the system's buffers, and %d wait for them", left, own.unwritten.Load())
+	}
+	b.stop()
+	b.stepped(time.Second)
+	slow.write(wire.ReleaseOf(1, wire.CauseNormal)) // its first call is over
+	b.during(func() {
+		for id := range uint64(calls) {
+			if d, _ := slow.want(wire.TypeAnswer, id+1).Get(wire.ParamDescription); len(d) != size {
+				t.Errorf("the description of call %d came with %d bytes", id+1, len(d))
+			}
+		}
+		server.want(wire.TypeRelease, 1)
+	})
+	b.until("it is done", func() bool { b.stepped(5 * time.Millisecond); return b.s.Done() })
+}
