End the engines that the tests of races start

Their descriptors were left to the tests that run after them, of which one counts them: under the race detector TestCallOnSockets ran short when it came after them.

--- a/internal/service/races_test.go
+++ b/internal/service/races_test.go
@@ -77,7 +77,14 @@
 		t.Fatal(err)
 	}
 	b.until("the office and the journal are connected", func() bool { return len(b.conns) == 2 })
-	t.Cleanup(b.network.Leave) // the engine's own end would wait for who accepts, who does not come back
+	t.Cleanup(func() { // guards the other tests against running short of descriptors
+		stopped := make(chan bool)
+		go func() { b.network.engine.Stop(); close(stopped) }()
+		select {
+		case <-stopped:
+		case <-time.After(100 * time.Millisecond): // a listener that was left does not come back; all else has ended
+		}
+	})
 	return b
 }
 
