Test that two customers in one process see every byte of their own alone

Two programs with settings of their own in one process, interleaved calls with marks, in pieces of any length. With a room for descriptions shared between calls it prints 'came to its office as ... offer of sale-auth 3'; with the rest of a message kept without a copy, calls never come.

--- a/internal/service/races_test.go
+++ b/internal/service/races_test.go
@@ -1,10 +1,13 @@
 package service
 
 import (
+	"bytes"
 	"encoding/binary"
 	"encoding/json"
+	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -385,3 +388,119 @@
 		t.Error("it listened for callers")
 	}
 }
+
+// markedCall is a call of a customer, of which all that is said bears its mark.
+func markedCall(class string, id uint64, rng *rand.Rand) wire.Message {
+	m := wire.SetUp{Class: class, Number: fmt.Sprintf("n/%s-%x", class, id), Description: markOf("offer", class, id, rng)}.Onward(id, 6_000_000)
+	m.Params = append(m.Params, wire.Text(wire.ParamInfo, "dest:0;width:1;via:-1"))
+	return m
+}
+
+// markOf is a description with a call's mark in every part of it, of any length.
+func markOf(what, class string, id uint64, rng *rand.Rand) []byte {
+	return bytes.Repeat(fmt.Appendf(nil, "%s of %s %x;", what, class, id), 1+rng.IntN(1<<rng.IntN(8)))
+}
+
+// isMark tells whether a text is made of nothing but one call's mark.
+func isMark(text []byte, what, class string, id uint64) bool {
+	mark := fmt.Appendf(nil, "%s of %s %x;", what, class, id)
+	return len(text) > 0 && len(bytes.ReplaceAll(text, mark, nil)) == 0
+}
+
+// Two customers with settings of their own are served by two programs in one process, each by several connections, and their calls
+// come interleaved, in pieces of any length: every byte that an office or a caller gets is of the call that it is told of,
+// and a class that only the other customer has is not known. Rooms for messages, descriptions and calls are used again all the time.
+func TestCustomersSeeTheirOwn(t *testing.T) {
+	rng := rand.New(rand.NewPCG(25, 1))
+	type customer struct {
+		*byHand
+		class   string
+		server  *peer
+		callers []*peer
+		calls   [][]uint64 // by caller
+		pieces  [][]byte   // by caller: what is still to be written
+	}
+	var customers []*customer
+	for i, class := range []string{"sale-auth", "balance-check"} {
+		c := &customer{class: class, byHand: playByHand(t, func(cfg *Config) {
+			cfg.Settings.Classes[0].Name = class
+			cfg.Settings.Classes[0].Deadline += int64(i)
+		})}
+		c.server = c.accept()
+		for range 3 {
+			p, _ := c.dial(net.Dialer{})
+			c.callers, c.calls, c.pieces = append(c.callers, p), append(c.calls, nil), append(c.pieces, nil)
+		}
+		customers = append(customers, c)
+	}
+	const rounds = 40
+	for round := range uint64(rounds) {
+		for _, c := range customers {
+			for i := range c.callers {
+				id := round<<8 | uint64(i) + 1 // both customers use the same ids
+				c.calls[i] = []uint64{id}
+				m, err := markedCall(c.class, id, rng).Append(nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				c.pieces[i] = m
+			}
+		}
+		for open := true; open; { // in pieces, by turns
+			open = false
+			for _, c := range customers {
+				for i := range c.callers {
+					n := min(len(c.pieces[i]), 1+rng.IntN(1+len(c.pieces[i])))
+					if _, err := c.callers[i].conn.Write(c.pieces[i][:n]); err != nil {
+						t.Fatal(err)
+					}
+					c.pieces[i] = c.pieces[i][n:]
+					open = open || len(c.pieces[i]) > 0
+				}
+				c.step()
+			}
+		}
+		for _, c := range customers {
+			c.during(func() {
+				for range c.callers {
+					m := c.server.next(wire.TypeSetUp)
+					class, _ := m.Get(wire.ParamClass)
+					number, _ := m.Get(wire.ParamNumber)
+					offer, _ := m.Get(wire.ParamDescription)
+					if string(class) != c.class || string(number) != fmt.Sprintf("n/%s-%x", c.class, m.Call) || !isMark(offer, "offer", c.class, m.Call) {
+						t.Errorf("call %x of %s came to its office as %s, %s, %.60q", m.Call, c.class, class, number, offer)
+					}
+					answer := answerTo(m.Call)
+					answer.Params[0].Value = markOf("answer", c.class, m.Call, rng)
+					c.server.write(answer)
+				}
+				for i, p := range c.callers {
+					m := p.next(wire.TypeAnswer)
+					d, _ := m.Get(wire.ParamDescription)
+					if m.Call != c.calls[i][0] || !isMark(d, "answer", c.class, m.Call) {
+						t.Errorf("call %x of %s was answered to as %x, %.60q", c.calls[i][0], c.class, m.Call, d)
+					}
+					p.write(wire.ReleaseOf(m.Call, wire.CauseNormal))
+					p.want(wire.TypeHeard, m.Call)
+				}
+			})
+			c.stepped(50 * time.Millisecond)
+		}
+	}
+	for i, c := range customers { // the class of the other
+		other := customers[1-i].class
+		c.during(func() {
+			m, err := markedCall(other, 1<<40, rng).Append(nil)
+			if err == nil {
+				_, err = c.callers[0].conn.Write(m)
+			}
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			if m := c.callers[0].next(wire.TypeRelease); m.Cause() != wire.CauseMissing {
+				t.Errorf("a class of the other customer gave %+v", m)
+			}
+		})
+	}
+}
