--- a/internal/service/conn.go
+++ b/internal/service/conn.go
@@ -60,5 +60,12 @@
 	return err == nil && unread > 0 || c.queue.inHand.Load() == c.Conn || c.queue.holds(c, false)
 }
 
-// Waiting tells whether something has come that the loop has not played, or some that was written has not left.
-func (c *conn) Waiting() bool { return c.Unsent() || c.Unread() || c.queue.holds(c, true) }
+// Waiting tells whether something has come that the loop has not played, or some that was written has not reached the peer's
+// system: it is lost if anything more comes on a connection that was closed.
+func (c *conn) Waiting() bool {
+	if c.Unsent() || c.Unread() || c.queue.holds(c, true) {
+		return true
+	}
+	unsent, err := unix.IoctlGetInt(c.Hash(), unix.TIOCOUTQ)
+	return err == nil && unsent > 0
+}
--- a/internal/session/callers.go
+++ b/internal/session/callers.go
@@ -79,7 +79,8 @@
 		if len(c.Open) > 0 || quiet != nil && cmp.Or(cmp.Compare(rank(quiet), rank(c)), cmp.Compare(quiet.Quiet, c.Quiet)) <= 0 {
 			continue
 		}
-		if !c.Conn.Waiting() {
+		// Who has not taken an answer for so long has most likely vanished.
+		if !c.Conn.Waiting() || s.now-c.Quiet > unsureFor && !c.Conn.Unread() {
 			quiet = c
 		}
 	}
