Read a configuration at SIGHUP whole before any of it holds; an unknown zone is not the first

An address that is none (`x`, `127.0.0.1:0`) was taken, and ended the connection that worked. Change: all events are read, then taken; the source goes before the node; checkJournal in service/config.go, asked in service.go for a reload alone. Also: the counter of reads under way is raised under the queue's lock (race detector). Without it: TestReloadIsAllOrNothing prints `unknown state, last: ...; told [s- s-], last 5, address new:1`, TestReloadCrossings `its last event unreadable: 1 reloads, 0 errors; the list has changed`, TestHangUpsWithBadFiles (a real process, 16 bad files, eleven SIGHUPs in a row, one that crosses the stop) `is counted: never`. Ruled out, each forced in TestReloadCrossings: a dial of the old address under way or just up, two reloads in one round, the same address with and without a dial, a reload while stopping.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -122,16 +122,25 @@
 }
 
 // Reload takes events that the file already knows, so that they need not be waited for, and moves to the address
-// that it names. The numbers go on there.
+// that it names. The numbers go on there. A file of which any event cannot be read changes nothing.
 func (j *Journal) Reload(_ int64, u Update, take func(wire.Change)) error {
-	j.address = u.Address
+	var changes []wire.Change
 	for _, entry := range u.Known.Entries {
-		if entry.Number <= j.last || entry.Number > j.last+1 && !entry.List.Whole {
-			continue
-		}
 		c, err := entry.Change(j.zones)
 		if err != nil {
-			return err
+			return fmt.Errorf("known: %w", err)
+		}
+		for _, o := range c.Offices {
+			if len(j.zones) > 0 && o.Zone >= len(j.zones) {
+				return fmt.Errorf("known: event %d: %s: unknown zone", c.Number, o.ID)
+			}
+		}
+		changes = append(changes, c)
+	}
+	j.address = u.Address
+	for _, c := range changes {
+		if c.Number <= j.last || c.Number > j.last+1 && !c.Whole {
+			continue
 		}
 		j.last = c.Number
 		take(c)
--- a/internal/service/config.go
+++ b/internal/service/config.go
@@ -4,8 +4,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"os"
 	"strconv"
+	"strings"
 
 	"pewterwheel/decide"
 	"pewterwheel/internal/membership"
@@ -63,6 +65,22 @@
 	return c, nil
 }
 
+// checkJournal tells whether the journal's address is one that can be connected to. At a start it is not asked: the list that
+// the configuration knows is served by. Guards against a reload that leaves an address which works for one that cannot.
+func (c Config) checkJournal() error {
+	if c.Journal == "" {
+		return nil // a sidecar's
+	}
+	host, port, err := net.SplitHostPort(c.Journal)
+	if err != nil {
+		return fmt.Errorf("configuration: journal: %w", err)
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 || host == "" || strings.ContainsAny(host, ": \t") {
+		return fmt.Errorf("configuration: journal: %q is no address", c.Journal)
+	}
+	return nil
+}
+
 // Session is the part of the configuration that the session is made from.
 func (c Config) Session() (session.Config, error) {
 	seed, err := strconv.ParseUint(c.Seed, 16, 64)
--- a/internal/service/network.go
+++ b/internal/service/network.go
@@ -68,7 +68,7 @@
 	buf := make([]byte, readBuffer)
 	var lent []byte
 	n.engine.OnReadBufferAlloc(func(c *nbio.Conn) *[]byte {
-		connOf(c).pending.Add(1)
+		q.reads(connOf(c))
 		lent = buf
 		return &lent
 	})
--- a/internal/service/queue.go
+++ b/internal/service/queue.go
@@ -95,6 +95,13 @@
 	}
 }
 
+// reads notes that a connection is read from now. Under the lock, for what opened the connection has queued that there.
+func (q *queue) reads(c *conn) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	c.pending.Add(1)
+}
+
 // done tells that the loop has been through what it took, and has places for so many more callers.
 func (q *queue) done(items []session.Arrival, places int) {
 	for _, a := range items {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -73,6 +73,9 @@
 		return session.Arrival{Kind: session.Report}
 	case syscall.SIGHUP:
 		cfg, err := read()
+		if err == nil {
+			err = cfg.checkJournal()
+		}
 		return session.Arrival{Kind: session.Reload, Update: cfg.Update(), Err: err}
 	}
 	return session.Arrival{Kind: session.Stop}
--- a/internal/session/journal.go
+++ b/internal/session/journal.go
@@ -50,14 +50,16 @@
 // reload takes a configuration that was read anew: the list's source moves on, and so does what stands before the
 // module, if that can. All else that the program holds goes on.
 func (s *Session) reload(a Arrival) {
-	j := &s.journal
-	if a.Err != nil {
+	j, address, err := &s.journal, s.source.Address(), a.Err
+	if err == nil {
+		err = s.source.Reload(s.now, a.Update, s.change)
+	}
+	if err != nil {
 		s.Counters[state.ReloadErrors]++
-		s.log.Error("configuration unreadable", "error", a.Err)
+		s.log.Error("configuration unreadable", "error", err)
 		return
 	}
 	s.Counters[state.Reloads]++
-	address := s.source.Address()
 	s.log.Info("configuration read anew", "journal", a.Update.Address, "last", s.source.Last(), "known", a.Update.Known.Last)
 	if r, ok := s.node.(Reloader); ok && a.Update.Part != nil {
 		s.acts = r.Reload(s.now, a.Update.Part, s.acts[:0])
@@ -65,9 +67,6 @@
 			s.act(act)
 		}
 	}
-	if err := s.source.Reload(s.now, a.Update, s.change); err != nil {
-		s.log.Error("configuration unreadable", "error", err)
-	}
 	if s.source.Address() == address {
 		return
 	}
--- a/internal/wire/journal.go
+++ b/internal/wire/journal.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"fmt"
 	"net/netip"
+	"slices"
 
 	"pewterwheel/decide"
 )
@@ -109,7 +110,7 @@
 var journalStates = map[string]decide.State{"SERVING": decide.Up, "DRAINING": decide.Draining,
 	"DELETED": decide.Removed}
 
-// Change reads an entry; zones are named as in the settings.
+// Change reads an entry; zones are named as in the settings, and one that is not among them comes behind them.
 func (e Entry) Change(zones []string) (Change, error) {
 	c := Change{Number: e.Number, Whole: e.List.Whole}
 	for _, raw := range e.List.Offices {
@@ -123,11 +124,11 @@
 		}
 		o := Office{Address: address, Listed: decide.Listed{ID: decide.ServerID(raw.ID), Place: raw.Place,
 			State: state, Share: raw.Share, Started: raw.Started * 1000}}
-		for i, z := range zones {
-			if z == raw.Zone {
-				o.Zone = i
-			}
+		// Guards against taking a place that the settings do not know for the first: a repeat may be bound to its zone.
+		if o.Zone = slices.Index(zones, raw.Zone); o.Zone < 0 && raw.Zone != "" {
+			o.Zone = len(zones)
 		}
+		o.Zone = max(0, o.Zone)
 		c.Offices = append(c.Offices, o)
 	}
 	return c, nil
