--- a/internal/service/gone_test.go
+++ b/internal/service/gone_test.go
@@ -24,28 +24,6 @@
 // anyCore is none: the process is not pinned, so that its goroutines run beside each other.
 const anyCore = 1 << 20
 
-// next reads the next message of that type.
-func (p *peer) next(kind wire.Type) wire.Message {
-	p.t.Helper()
-	for {
-		m, n, err := wire.Next(p.buf)
-		if err != nil {
-			p.t.Fatal(err)
-		}
-		if n > 0 {
-			if p.buf = p.buf[n:]; m.Type == kind {
-				return m
-			}
-			continue
-		}
-		chunk := make([]byte, 64<<10)
-		if n, err = p.conn.Read(chunk); err != nil {
-			p.t.Fatalf("waiting for a message %d: %v", kind, err)
-		}
-		p.buf = append(p.buf, chunk[:n]...)
-	}
-}
-
 // tested sends a test and waits for its result: all that was sent before has been read then.
 func (p *peer) tested() {
 	p.t.Helper()
