Take a connection as over in the stand-ins' book once its end has come, read or not

Beside other load TestTakeOversUnderLoad said "call 3b4 has two attempts out, at s- and s-" and "28 ms after an attempt that was given up or cut". The first attempt's connection had ended, its end was not read yet, and the next set-up was read on another connection; and where the office had written behind the end, the reset hid when it came. The book now asks the connection of the attempt that is out, and an end that was read counts from when it came.

Without the mend the new checks say "call 8 has two attempts out, at o and o".

--- a/internal/standin/book.go
+++ b/internal/standin/book.go
@@ -30,6 +30,7 @@
 
 type seen struct {
 	at       string    // where an attempt is out
+	on       *pipe     // its connection
 	ended    time.Time // when the last one was given up or cut
 	answered bool      // an office answered
 	finals   int
@@ -84,11 +85,14 @@
 }
 
 // out notes an attempt at an office.
-func (b *Book) out(id uint64, office string, now time.Time) {
+func (b *Book) out(id uint64, office string, on *pipe, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.call(id)
 	b.Counts.Attempts++
+	if c.at != "" && c.on != on && c.on.over() { // the end of the other's connection has come and is not read yet
+		c.at, c.ended = "", c.on.ended(nil)
+	}
 	if c.at != "" {
 		b.note("call %x has two attempts out, at %s and %s", id, c.at, office)
 	}
@@ -98,7 +102,7 @@
 	if c.answered {
 		b.note("call %x was sent to %s after it had been set up", id, office)
 	}
-	c.at = office
+	c.at, c.on = office, on
 }
 
 // over notes the end of an attempt; cut is when it was given up, or its connection ended, and zero if neither.
--- a/internal/standin/caller_test.go
+++ b/internal/standin/caller_test.go
@@ -105,7 +105,7 @@
 	}
 	defer func() { _ = conn.Close() }()
 	p := &pipe{conn: conn} // whose end nobody reads until the test does
-	if p.over() || time.Since(p.ended()) > time.Second {
+	if p.over() || time.Since(p.ended(nil)) > time.Second {
 		t.Error("a connection that stands is over")
 	}
 	sent := time.Now()
@@ -118,10 +118,20 @@
 	until(t, "the end", p.over)
 	seen := time.Now()
 	time.Sleep(200 * time.Millisecond)
-	if late := p.ended().Sub(seen); late > 100*time.Millisecond {
-		t.Errorf("the end is told %s after it came", late)
+	for _, behind := range []bool{false, true} { // what is written behind the end resets the connection
+		if behind {
+			_, _ = conn.Write([]byte{0})
+		}
+		if late := p.ended(map[bool]error{true: io.EOF}[behind]).Sub(seen); late > 100*time.Millisecond {
+			t.Errorf("the end is told %s after it came; behind it was written: %v", late, behind)
+		}
 	}
 	book := NewBook()
+	book.out(8, "o", p, seen)
+	book.out(8, "o", &pipe{conn: peer}, time.Now().Add(guard))
+	if broken := book.Broken(); len(broken) > 0 {
+		t.Error(broken)
+	}
 	o := &Office{Name: "o", book: book, standing: map[uint64]bool{}}
 	o.setUp(p, 7, "", map[uint64]bool{})
 	time.Sleep(50 * time.Millisecond) // the answer would be due at once
@@ -159,7 +169,7 @@
 			}
 			heard = m.Type == wire.TypeHeard
 		}
-		book.out(7, "o", time.Now().Add(guard))
+		book.out(7, "o", p, time.Now().Add(guard))
 		if n := len(book.Broken()); n != map[bool]int{true: 1}[told] {
 			t.Errorf("the caller was told: %v; %v", told, book.Broken())
 		}
--- a/internal/standin/lines.go
+++ b/internal/standin/lines.go
@@ -75,7 +75,7 @@
 
 // engaged answers a set-up whose number has no line.
 func (o *Office) engaged(p *pipe, call uint64) error {
-	o.book.out(call, o.Name, time.Now())
+	o.book.out(call, o.Name, p, time.Now())
 	o.book.over(call, o.Name, time.Time{})
 	return p.send(wire.ReleaseOf(call, wire.CauseBusy))
 }
--- a/internal/standin/office.go
+++ b/internal/standin/office.go
@@ -3,7 +3,9 @@
 package standin
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"slices"
 	"sync"
@@ -146,8 +148,9 @@
 
 func (o *Office) serve(p *pipe) {
 	out := map[uint64]bool{} // set-ups on this connection that are not over
+	var last error
 	defer func() {
-		ended := p.ended()
+		ended := p.ended(last)
 		_ = p.conn.Close()
 		o.mu.Lock()
 		delete(o.conns, p.conn)
@@ -161,6 +164,7 @@
 	for {
 		m, err := p.next()
 		if err != nil {
+			last = err
 			return
 		}
 		switch m.Type {
@@ -200,7 +204,7 @@
 // setUp takes a set-up; false: the connection is to end.
 func (o *Office) setUp(p *pipe, call uint64, description string, out map[uint64]bool) bool {
 	now := time.Now()
-	o.book.out(call, o.Name, now)
+	o.book.out(call, o.Name, p, now)
 	out[call] = true
 	o.mu.Lock()
 	o.taken++
@@ -317,10 +321,11 @@
 	return state != 0 && state != unix.BPF_TCP_ESTABLISHED
 }
 
-// ended is when the peer ended the connection, to some milliseconds, however late it is read; now, if it did not.
-func (p *pipe) ended() time.Time {
+// ended is when the peer ended the connection, to some milliseconds, however late it is read; now, if it did not. Once
+// something was written behind that end only what was read last tells of it: err.
+func (p *pipe) ended(err error) time.Time {
 	now, info := time.Now(), p.info()
-	if info.State != unix.BPF_TCP_CLOSE_WAIT {
+	if info.State != unix.BPF_TCP_CLOSE_WAIT && !errors.Is(err, io.EOF) {
 		return now
 	}
 	return now.Add(-time.Duration(info.Last_ack_recv) * time.Millisecond)
