--- a/internal/service/broken_test.go
+++ b/internal/service/broken_test.go
@@ -147,10 +147,9 @@
 
 // bench is a process of the program, with a journal that brings empty frames, and offices that the test plays.
 type bench struct {
-	t       *testing.T
-	listen  string
-	path    string
-	offices []*played
+	t      *testing.T
+	listen string
+	path   string
 	*controller
 }
 
