Refuse UNDRAIN once SIGTERM has come

It was answered with 200 'taking callers' by a process that is about to end (session/control.go, answerTo).

--- a/internal/session/control.go
+++ b/internal/session/control.go
@@ -78,6 +78,9 @@
 		}
 		return wire.Told(b, true, "draining")
 	case wire.AskUndrain:
+		if s.stop != 0 {
+			return wire.Told(b, false, "stopping")
+		}
 		if s.drain != 0 {
 			s.drain = 0
 			s.log.Info("taking callers again")
