End after SIGTERM only once a release owed is written on a connection that is coming up

Done (session/session.go) did not look at offices: where an office's connection had just ended, and a caller released a call that stands there, the process ended before the new connection was up, and the call stood on there for nobody, its caller having been told that the release was heard.

--- a/internal/service/races_test.go
+++ b/internal/service/races_test.go
@@ -36,6 +36,7 @@
 	held    chan bool // where it is not nil, connects wait for it
 	conns   []*conn   // all that came up
 	closed  int       // connections whose end was played
+	left    bool      // nobody can come any more
 	stopped int64     // when SIGTERM came
 	pace    int64     // how much time passes in each step while peers talk
 }
@@ -103,6 +104,7 @@
 		} else if a.Kind == session.Closed {
 			b.closed++
 		}
+		b.left = b.left || a.Kind == session.Left
 	}
 	b.s.Step(b.clock.Load(), items)
 }
--- a/internal/service/shutdown_test.go
+++ b/internal/service/shutdown_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"errors"
 	"net"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -254,3 +255,60 @@
 	})
 	b.until("it is done", func() bool { b.stepped(5 * time.Millisecond); return b.s.Done() })
 }
+
+// An office's connection ends, and a caller releases a call that stands there, as the program is about to end after SIGTERM:
+// it ends once the release is written on the next connection, or none comes up.
+func TestReleaseOwedAtTheEnd(t *testing.T) {
+	for name, comes := range map[string]bool{"the office comes back": true, "it does not": false} {
+		t.Run(name, func(t *testing.T) {
+			b := playByHand(t, nil)
+			server := b.accept()
+			caller, _ := b.dial(net.Dialer{})
+			b.call(7, server, caller)
+			b.stop()
+			b.stepped(840 * time.Millisecond)
+			b.held = make(chan bool)
+			_ = server.conn.Close()
+			b.until("the office's connection has ended", func() bool { return b.closed == 1 })
+			b.during(func() {
+				caller.write(wire.ReleaseOf(7, wire.CauseNormal))
+				caller.want(wire.TypeHeard, 7)
+			})
+			b.stepped(60 * time.Millisecond)
+			b.until("the callers are sent away", func() bool { b.stepped(time.Millisecond); return b.closed >= 2 && b.left })
+			if b.s.Done() {
+				t.Error("it is done with a release to be written")
+			}
+			if comes {
+				close(b.held)
+				server = b.accept()
+				b.during(func() { server.want(wire.TypeRelease, 7) })
+			}
+			began := b.clock.Load()
+			b.until("it is done", func() bool { b.stepped(5 * time.Millisecond); return b.s.Done() })
+			if waited := b.clock.Load() - began; waited > 700_000 {
+				t.Errorf("it was done %d us later", waited)
+			}
+		})
+	}
+}
+
+// UNDRAIN after SIGTERM is refused. Guards against staff who count on a process that is about to end.
+func TestUndrainWhileStopping(t *testing.T) {
+	control := free(t)
+	b := playByHand(t, func(c *Config) { c.Control = control })
+	b.during(func() {
+		if got := ask(t, control, wire.AskDrain); !strings.HasPrefix(got, "200 ") {
+			t.Errorf("DRAIN gave %q", got)
+		}
+	})
+	b.stop()
+	b.during(func() {
+		if got := ask(t, control, wire.AskUndrain); !strings.HasPrefix(got, "400 ") {
+			t.Errorf("UNDRAIN after SIGTERM gave %q", got)
+		}
+		if got := ask(t, control, wire.AskReady); strings.HasPrefix(got, "200 ") {
+			t.Errorf("READY after SIGTERM gave %q", got)
+		}
+	})
+}
--- a/internal/session/leave.go
+++ b/internal/session/leave.go
@@ -63,3 +63,11 @@
 	}
 	s.drop(c.Conn, errAway)
 }
+
+// owes tells whether a connection to an office that is to be told of ends is coming up. Guards against ending just then: a
+// call that its caller has released would stand on there for nobody. Where the connect is refused the office is no more.
+func (s *Session) owes() bool {
+	return s.now < s.lastAnswer() && slices.ContainsFunc(s.offices.All(), func(o *state.Office) bool {
+		return o.Dialling != 0 && len(o.Ended) > 0 && !o.Unreached
+	})
+}
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -383,7 +383,7 @@
 // all that was written has been read, or a kill may come. Guards against ending while callers wait to be taken in: the
 // system resets them, with the set-ups that they have sent.
 func (s *Session) Done() bool {
-	return s.stop != 0 && s.now >= s.stop+goOn && s.open() == 0 && (s.left && len(s.callers) == 0 || s.now >= s.lastAnswer())
+	return s.stop != 0 && s.now >= s.stop+goOn && s.open() == 0 && !s.owes() && (s.left && len(s.callers) == 0 || s.now >= s.lastAnswer())
 }
 
 // lastAnswer is when the last call must have its answer once SIGTERM has come.
