Judge a cold office by the calls taken and a part of those asked for

Seen: with 300 nodes, and with 20 or 30, up to 1.65 times N + 2 root N + 2 came to a cold office within the fall time: at 2.5 times what offices take, all or seven in ten nodes just started (played by virtual time). Traced by taking one term out at a time: coldRoom judged by usual(), that is by max(took, asked) and two unseen calls a node. Calls that no office took count as capacity (2.5 times), and after a start the unseen ones of all nodes together twice over; the first call, with which the count begins, once more. Ruled out: what set-ups that began earn (bounded by what the office takes), a node with a quarter or half of the traffic, nodes told 4 s late, start budgets.

Change: coldRoom goes by a rate of its own (sure): calls taken, or 0.4 of those asked for, none unseen.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -26,8 +26,9 @@
 	keep = 0.5
 	// thin is how many set-ups the node's whole traffic counts for beside those that began at one server.
 	thin = 4.0
-	// askedPart of the calls its callers ask for is the least rate a node takes the servers to bear.
-	askedPart = 1.0
+	// askedPart of the calls its callers ask for is the least rate a node takes the servers to bear;
+	// surePart, with none unseen, where all nodes could together push one over.
+	askedPart, surePart = 1.0, 0.4
 	// unseen calls are added to a node's count: one that has just started may have seen none yet.
 	unseen = 2.0
 	// lullTimes the time between new callers is how long a server must have had room to be sent a late call.
@@ -53,7 +54,7 @@
 	// patience times Td, or delayTimes the usual delay if that is more, without any answer is silence.
 	patience, delayTimes = 3.0, 4.0
 	// coldShare is the part of this node's share of the fall-over budget that it spends on a cold server.
-	coldShare = 0.25
+	coldShare = 0.4
 	// coldEarned is what a set-up that began in time adds to a cold server's budget of one send.
 	coldEarned = 1.2
 	// longLine open set-ups are too many to move them all up for each one that is over.
@@ -169,6 +170,7 @@
 	span    float64 // over so many microseconds
 	lull    int64   // a server not used for so long is not wanted by calls that can be on time
 	rate    float64 // set-ups a microsecond a unit of size that this node can expect to begin; 0: not known
+	sure    float64 // rate as far as all nodes together can be sure of it
 	td      float64 // Td, the target delay here
 	tau     int64   // τ here
 	soonest float64 // least set-up delay expected now
@@ -590,6 +592,7 @@
 	}
 	if size > 0 {
 		n.rate = (unseen + max(n.took, askedPart*n.asked)) / n.span / size
+		n.sure = max(n.took, surePart*n.asked) / n.span / size
 	}
 	n.lull = int64(lullTimes * n.span / (unseen + n.asked))
 	for _, s := range n.servers {
@@ -823,15 +826,13 @@
 		sum += n.weight(s)
 	}
 	at := n.rng.Float64() * sum
-	for _, s := range from {
+	var s *server
+	for _, s = range from {
 		if at -= n.weight(s); at <= 0 {
-			return s
+			break
 		}
 	}
-	if len(from) > 0 {
-		return from[len(from)-1]
-	}
-	return nil
+	return s
 }
 
 func (n *Node) weight(s *server) float64 {
@@ -977,7 +978,7 @@
 }
 
 // coldRoom guards against pushing over a server that has just started: this node's sends stay under its
-// share of what the fourth rule lets all nodes send, judged by what warm servers take of this node.
+// share of what the fourth rule lets all nodes send, judged by what servers surely take of this node.
 func (n *Node) coldRoom(s *server) bool {
 	age := n.now - s.started
 	if s.started == 0 || age >= n.set.Rules.Cold {
@@ -985,7 +986,7 @@
 	}
 	part := n.set.Rules.StartCapacity
 	part += (1 - part) * max(0, float64(age)) / float64(n.set.Rules.Cold)
-	drip := float64(n.now-s.refill) * coldShare * n.set.Rules.FallMultiple * part * n.usual(s)
+	drip := float64(n.now-s.refill) * coldShare * n.set.Rules.FallMultiple * part * n.sure * s.share
 	s.budget, s.refill = max(s.budget, min(s.budget+drip, 1)), n.now
 	return s.budget >= 1
 }
