--- a/internal/service/coldstart_test.go
+++ b/internal/service/coldstart_test.go
@@ -46,7 +46,7 @@
 		for range 2 {
 			d := newDiscovery(t, c.down)
 			if c.then != nil {
-				go d.serve(d.listen(), c.then)
+				d.serve(c.then)
 			}
 			took := make(chan time.Duration, 1)
 			all, names = append(all, took), append(names, c.name)
--- a/internal/service/discovery_test.go
+++ b/internal/service/discovery_test.go
@@ -24,15 +24,19 @@
 // told is after how long what the journal service has to tell counts as told, whether it has come or not.
 const told = 7 * time.Second
 
-// discovery is a stand-in for the journal service: down at first, in one of several ways, and back later.
+// discovery is a stand-in for the journal service: down at first, in one of several ways, and back later. It has its address from
+// the first, so that nobody else can take it.
 type discovery struct {
 	t       *testing.T
 	address string
-	fd      int // a listener whose queue is full; -1: none
-	mu      sync.Mutex
-	open    []io.Closer // the listener, and connections: the program's, or those that hold the queue full
+	fd      int         // bound to the address
 	asked   chan uint64 // the numbers from which it was asked
-	frames  chan []byte // what is told on the connection that asks first
+	frames  chan []byte // what is told once it is back
+
+	mu       sync.Mutex
+	then     func(net.Conn) // what a connection gets that has asked
+	listener net.Listener   // nil: nobody listens
+	open     []net.Conn     // the program's, or those that hold the queue full
 }
 
 // The ways in which discovery is down.
@@ -44,98 +48,101 @@
 
 func newDiscovery(t *testing.T, down string) *discovery {
 	t.Helper()
-	d := &discovery{t: t, fd: -1, asked: make(chan uint64, 1024), frames: make(chan []byte, 16),
-		address: fmt.Sprintf("127.0.0.1:%d", standin.FreePort())}
-	t.Cleanup(d.hangUp)
-	switch down {
-	case dropped:
-		d.blackhole()
-	case mum:
-		go d.serve(d.listen(), func(net.Conn) {})
-	}
-	return d
-}
-
-func (d *discovery) listen() net.Listener {
-	d.t.Helper()
-	l, err := net.Listen("tcp4", d.address)
-	if err != nil {
-		d.t.Fatal(err)
-	}
-	d.keep(l)
-	return l
-}
-
-// blackhole listens with a queue of one place, and fills it: the system drops each further connect.
-func (d *discovery) blackhole() {
-	d.t.Helper()
-	at := net.TCPAddrFromAddrPort(mustAddrPort(d.t, d.address))
+	d := &discovery{t: t, asked: make(chan uint64, 1024), frames: make(chan []byte, 16)}
 	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
 	if err == nil {
-		err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+		err = unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}})
 	}
+	var at unix.Sockaddr
 	if err == nil {
-		err = unix.Bind(fd, &unix.SockaddrInet4{Port: at.Port, Addr: [4]byte(at.IP.To4())})
-	}
-	if err == nil {
-		err = unix.Listen(fd, 0)
+		at, err = unix.Getsockname(fd)
 	}
 	if err != nil {
-		d.t.Fatal(err)
+		t.Fatal(err)
 	}
-	d.fd = fd
-	for {
-		c, err := net.DialTimeout("tcp4", d.address, 300*time.Millisecond)
-		if err != nil {
-			return
+	d.fd, d.address = fd, fmt.Sprintf("127.0.0.1:%d", at.(*unix.SockaddrInet4).Port)
+	t.Cleanup(func() {
+		d.hangUp()
+		if d.listener != nil {
+			_ = d.listener.Close()
+		}
+		_ = unix.Close(fd)
+	})
+	switch down {
+	case dropped: // a queue of one place, which is full: the system drops each further connect
+		if err := unix.Listen(fd, 0); err != nil {
+			t.Fatal(err)
 		}
-		d.keep(c)
+		for {
+			c, err := net.DialTimeout("tcp4", d.address, 300*time.Millisecond)
+			if err != nil {
+				break
+			}
+			d.open = append(d.open, c)
+		}
+	case mum:
+		d.serve(func(net.Conn) {})
 	}
+	return d
 }
 
-func (d *discovery) keep(c io.Closer) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.open = append(d.open, c)
-}
-
-// hangUp ends all connections and what listens.
+// hangUp ends all connections.
 func (d *discovery) hangUp() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, c := range d.open {
 		_ = c.Close()
 	}
-	if d.open = nil; d.fd >= 0 {
-		_ = unix.Close(d.fd)
-		d.fd = -1
-	}
+	d.open = nil
 }
 
-// serve notes from which event each connection asks, and hands it on.
-func (d *discovery) serve(l net.Listener, then func(net.Conn)) {
-	for {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		d.keep(c)
-		go func() {
-			last := make([]byte, 8)
-			if _, err := io.ReadFull(c, last); err != nil {
+// serve listens from now on, and notes from which event each connection asks before it gets what it is to get.
+func (d *discovery) serve(then func(net.Conn)) {
+	d.t.Helper()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.then = then; d.listener != nil {
+		return
+	}
+	if err := unix.Listen(d.fd, 128); err != nil {
+		d.t.Fatal(err)
+	}
+	file, err := unix.Dup(d.fd)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	f := os.NewFile(uintptr(file), "discovery")
+	d.listener, err = net.FileListener(f)
+	_ = f.Close() // the listener has a copy
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	go func() {
+		for {
+			c, err := d.listener.Accept()
+			if err != nil {
 				return
 			}
-			d.asked <- binary.BigEndian.Uint64(last)
-			then(c)
-		}()
-	}
+			d.mu.Lock()
+			d.open = append(d.open, c)
+			then := d.then
+			d.mu.Unlock()
+			go func() {
+				last := make([]byte, 8)
+				if _, err := io.ReadFull(c, last); err != nil {
+					return
+				}
+				d.asked <- binary.BigEndian.Uint64(last)
+				then(c)
+			}()
+		}
+	}()
 }
 
-// back brings discovery back where nobody listened: what is put into frames is told, with an empty one each second.
+// back brings discovery back: what is put into frames is told, with an empty one each second.
 func (d *discovery) back() {
 	d.t.Helper()
-	d.hangUp()
-	go d.serve(d.listen(), func(c net.Conn) {
+	d.serve(func(c net.Conn) {
 		empty := frameOf(0, 0, nil)
 		for pause := time.NewTicker(time.Second); ; {
 			var err error
@@ -150,6 +157,7 @@
 			}
 		}
 	})
+	d.hangUp()
 }
 
 // frameOf is a frame of the journal.
