--- a/decide/cold_test.go
+++ b/decide/cold_test.go
@@ -62,7 +62,6 @@
 	a          Action
 	told       bool
 	sent, done int64
-	due        int64
 	full, off  bool // turned away; called off, which spares the office nothing
 }
 
