Send nothing for a call that has its answer, though its attempt waits for a connection

Seen by reading: where the settings let no attempt be called off, one that is queued for a connect outlives its call's final answer and its caller's connection. Once the connect came up its set-up was written; with the look at the caller it would have been a nil connection, and the end of the process (session.putOn).

putOn gives such an attempt up. Without it TestNoAttemptForACallThatWasAnswered prints '1 calls, ended: []' and ends in a panic where the caller has left.

--- a/internal/session/gone_test.go
+++ b/internal/session/gone_test.go
@@ -223,7 +223,11 @@
 func (d *sends) Step(now int64, e decide.Event, out []decide.Action) []decide.Action {
 	switch e.Kind {
 	case decide.Order:
-		out = append(out, decide.Action{Kind: decide.Send, Call: e.Call, Server: d.to, Until: now + d.until})
+		until := int64(0)
+		if d.until != 0 {
+			until = now + d.until
+		}
+		out = append(out, decide.Action{Kind: decide.Send, Call: e.Call, Server: d.to, Until: until})
 	case decide.Ended:
 		d.ended = append(d.ended, e)
 		out = append(out, decide.Action{Kind: decide.Fail, Call: e.Call})
@@ -258,3 +262,30 @@
 		}
 	}
 }
+
+// Where attempts may not be called off, one that waits for a connection outlives the final answer of its call, and its caller's
+// connection: nothing is sent for it once its connection comes up.
+func TestNoAttemptForACallThatWasAnswered(t *testing.T) {
+	for _, leaves := range []bool{false, true} {
+		d := &sends{to: "s-00000001"}
+		p := newPlayerOf(t, Config{Sockets: 1024, Seed: 7, Node: func(decide.Settings, uint64) (Decider, error) { return d, nil }})
+		p.step()
+		for _, line := range []string{"5 a open", "6 o1 silent", "7 o1 close"} {
+			p.play(line)
+		}
+		p.play("10 a > " + upFor(1, 0))
+		p.until(100_000)
+		p.s.act(decide.Action{Kind: decide.Fail, Call: 1})
+		if leaves {
+			p.play("150 a close")
+		}
+		p.until(200_000)
+		conn := &fakeConn{p: p, name: "o1"}
+		p.conns["o1"] = conn
+		p.step(Arrival{Kind: Dialled, At: p.now, Dial: p.lane("s-00000001").Dialling, Conn: conn})
+		p.until(900_000)
+		if p.wroteFor("o1", 1, 1) || len(d.ended) != 1 || len(p.s.calls) != 0 {
+			t.Errorf("its caller leaves: %t; %d calls, ended: %v\n%s", leaves, len(p.s.calls), d.ended, strings.Join(p.lines, "\n"))
+		}
+	}
+}
--- a/internal/session/offices.go
+++ b/internal/session/offices.go
@@ -66,6 +66,9 @@
 	l, from := at.On, at.Call.From
 	at.Queued = true
 	switch {
+	case at.Call.Answered: // where attempts may not be called off it outlives its call, and its caller's connection
+		s.giveUp(at, decide.Cancelled)
+		return
 	case from.Conn.Gone():
 		s.callerGaveUp(at.Call) // its end is told next
 		return
