Write a round's messages in pieces that the engine keeps, so that no jump ends a connection

Seen: seven set-ups of 15 KiB in one round ended the office's connection before it read anything ('waiting for message 1 of call 1: EOF'). Cause: nbio refuses a write that passes MaxWriteBufferSize whatever the system would take, and ends the connection; that is 64 KiB at the usual limits, and a round's box was written once it had more than 64 KiB (session.maxBox). So any round with more than 64 KiB for one office, as some 300 usual set-ups in a jump, cut all that was out there. Ruled out: the office's reading (the socket was empty).

A box is written from 32 KiB on, and the longest message is 16 KiB.

--- a/internal/service/gone_test.go
+++ b/internal/service/gone_test.go
@@ -285,3 +285,54 @@
 	_ = far.conn.Close()
 	eventually(t, "the peer has gone", own.Gone)
 }
+
+// What a round has for one office is more than the engine keeps for a connection: it goes in pieces, and nothing ends. Guards
+// against a jump of calls, or a sender of long descriptions, that ends the connection which all share.
+func TestMoreThanTheEngineKeepsInOneRound(t *testing.T) {
+	office, journal, listen := port(t), port(t), free(t)
+	path := written(t, configuration(listen, "", journal, office))
+	signals, ended := make(chan os.Signal, 1), make(chan error, 1)
+	go func() {
+		ended <- Run(func() (Config, error) {
+			cfg, err := ReadConfig(path)
+			cfg.Node = func(decide.Settings, uint64) (session.Decider, error) { return eager{"s-00000001"}, nil }
+			return cfg, err
+		}, signals, slog.New(slog.DiscardHandler))
+	}()
+	conn, err := office.Accept()
+	server := newPeer(t, conn, err)
+	var caller *peer
+	eventually(t, "it serves", func() bool {
+		conn, err := net.Dial("tcp4", listen)
+		if err == nil {
+			caller = newPeer(t, conn, nil)
+		}
+		return err == nil
+	})
+	const calls = 7
+	var all []byte
+	for i := range uint64(calls) { // in one piece, and so in one round
+		m := setUp(i + 1)
+		m.Params[3].Value = make([]byte, 15<<10)
+		if all, err = m.Append(all); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := caller.conn.Write(all); err != nil {
+		t.Fatal(err)
+	}
+	for i := range uint64(calls) {
+		server.want(wire.TypeSetUp, i+1)
+		server.write(answerTo(i + 1))
+	}
+	for i := range uint64(calls) {
+		caller.want(wire.TypeAnswer, i+1)
+	}
+	_ = caller.conn.Close()
+	signals <- syscall.SIGTERM
+	select {
+	case <-ended:
+	case <-time.After(patience):
+		t.Error("it did not end")
+	}
+}
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -329,8 +329,9 @@
 	return s.now-s.stepped > standStill || slices.ContainsFunc(arrivals, func(a Arrival) bool { return s.now-a.At > standStill })
 }
 
-// maxBox is what may wait for a connection before it is written within the round.
-const maxBox = 64 << 10
+// maxBox is what may wait for a connection before it is written within the round. With the longest message behind it it is less
+// than the least that the engine keeps for one connection (64 KiB): a write of more would end the connection.
+const maxBox = 32 << 10
 
 // box is where messages for a connection are written behind each other; it is written at the end of the round.
 func (s *Session) box(to any, b *state.Outbox) *state.Outbox {
