Set a stand-in's call up and let it go in one step with the book

TestFloods ended now and then with "what is open stands at the office: never": the office had one to six calls more than the process. Of each the first kind was traced through both: set-up and release came behind each other on one connection, and the office's answer had passed the book when the release was read, which found nothing standing; only then did it stand. The release was heard, so nobody ended it again. The program had done what it has to.

The office now stands a call, and lets it go, under its own lock together with the book's entry. The book no longer takes such a call for one that was set up, either.

--- a/internal/service/floods_test.go
+++ b/internal/service/floods_test.go
@@ -178,7 +178,6 @@
 			})
 		}
 		// Calls of a flood stand as any others: their clients have forgotten them, the office has not.
-		// Calls of a flood stand as any others: their clients have forgotten them, the office has not.
 		eventually(t, "what is open stands at the office", func() bool { return b.pending() == office.Standing() })
 		eventually(t, "descriptors fall back", func() bool { return b.descriptors() < 24 })
 		b.end()
--- a/internal/standin/office.go
+++ b/internal/standin/office.go
@@ -181,26 +181,45 @@
 			}
 		case wire.TypeRelease:
 			o.lines().end(m.Call)
-			o.mu.Lock()
-			stood := o.standing[m.Call]
-			delete(o.standing, m.Call)
-			harmed := o.ties.End(p, m.Call)
-			o.mu.Unlock()
-			if harmed {
+			if o.release(p, m.Call, out[m.Call]) {
 				o.book.harm()
 			}
-			if stood {
-				o.book.released(m.Call, p.heard())
-			}
-			if !stood && out[m.Call] {
-				o.book.over(m.Call, o.Name, p.heard())
-			}
 			delete(out, m.Call)
 			_ = p.send(wire.Message{Type: wire.TypeHeard, Call: m.Call})
 		}
 	}
 }
 
+// release ends a call, or gives up its set-up where that is out; it tells whether that was harmed. The book is told in the
+// same step. Guards against a set-up that is answered meanwhile: it would stand for ever, for its release has been heard.
+func (o *Office) release(p *pipe, call uint64, out bool) (harmed bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	stood := o.standing[call]
+	delete(o.standing, call)
+	switch {
+	case stood:
+		o.book.released(call, p.heard())
+	case out:
+		o.book.over(call, o.Name, p.heard())
+	}
+	return o.ties.End(p, call)
+}
+
+// stand sets a call up, in one step with the book as release does; false: it was given up, or its connection's end has come,
+// which gives it up, and is not read yet.
+func (o *Office) stand(p *pipe, call uint64, bound bool) (told string, ok bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if p.over() || !o.book.answered(call, o.Name) {
+		return "", false
+	}
+	if o.standing[call] = true; bound {
+		return o.ties.Give(o.Name, p, call), true
+	}
+	return o.Name, true
+}
+
 // setUp takes a set-up; false: the connection is to end.
 func (o *Office) setUp(p *pipe, call uint64, description string, out map[uint64]bool) bool {
 	now := time.Now()
@@ -248,16 +267,10 @@
 		return true
 	}
 	time.AfterFunc(wait+s.Work, func() {
-		if p.over() || !o.book.answered(call, o.Name) {
-			return // it was given up, or its connection's end has come, which gives it up, and is not read yet
-		}
-		o.mu.Lock()
-		o.standing[call] = true
-		told := o.Name
-		if s.Bound != 0 {
-			told = o.ties.Give(o.Name, p, call)
+		told, ok := o.stand(p, call, s.Bound != 0)
+		if !ok {
+			return
 		}
-		o.mu.Unlock()
 		_ = p.send(wire.Message{Type: wire.TypeAnswer, Call: call, Params: []wire.Param{{Code: wire.ParamDescription, Value: []byte(told)}}})
 	})
 	return true
--- /dev/null
+++ b/internal/standin/office_test.go
@@ -0,0 +1,57 @@
+package standin
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"pewterwheel/internal/wire"
+)
+
+// A release that crosses the office's answer ends the call: it does not stand for ever once its release has been heard.
+func TestReleaseCrossesTheAnswer(t *testing.T) {
+	book := NewBook()
+	o, err := NewOffice("o", "127.0.0.1:0", book, Script{Work: 100 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer o.Close()
+	conn, err := net.Dial("tcp4", o.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	p := &pipe{conn: conn}
+	say := func(m wire.Message) {
+		if err := p.send(m); err != nil {
+			t.Fatal(err)
+		}
+	}
+	say(wire.SetUp{Class: "sale-auth", Number: "n/1", Description: []byte("d")}.Onward(1, patience.Microseconds()))
+	until(t, "the set-up", func() bool { return o.Taken() == 1 })
+	book.mu.Lock() // the answer waits for it
+	free := func() bool {
+		if o.mu.TryLock() {
+			o.mu.Unlock()
+			return true
+		}
+		return false
+	}
+	for by := time.Now().Add(time.Second); free() && time.Now().Before(by); {
+		time.Sleep(time.Millisecond)
+	}
+	say(wire.ReleaseOf(1, wire.CauseNormal))
+	time.Sleep(50 * time.Millisecond) // and the release, as far as it goes, comes in meanwhile
+	book.mu.Unlock()
+	_ = conn.SetReadDeadline(time.Now().Add(patience))
+	for seen := map[wire.Type]bool{}; !seen[wire.TypeAnswer] || !seen[wire.TypeHeard]; {
+		m, err := p.next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		seen[m.Type] = true
+	}
+	if n := o.Standing(); n != 0 {
+		t.Errorf("%d calls stand whose release was heard", n)
+	}
+}
