--- a/internal/standin/office.go
+++ b/internal/standin/office.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"slices"
 	"sync"
@@ -45,6 +46,12 @@
 	Cold     time.Duration // it is warm after this
 	Multiple float64       // more work than this times its present capacity ...
 	Fall     time.Duration // ... for this long pushes it over
+	Slow     bool          // its line works no faster than its present capacity
+}
+
+// part is the part of its capacity that the office has at an age.
+func (b Bound) part(age time.Duration) float64 {
+	return b.Start + (1-b.Start)*min(1, max(0, age.Seconds()/b.Cold.Seconds()))
 }
 
 // Office is a call server.
@@ -62,7 +69,8 @@
 	ties     Ties
 	started  time.Time // zero: long ago
 	bound    Bound
-	sets     []time.Time // set-ups since it started cold
+	sets     []time.Time // set-ups within Fall since it started cold
+	came     []time.Time // all of them, as the system got them
 	drained  time.Time   // when everybody had been told; zero: it is up
 	taken    int
 	fallen   bool
@@ -84,7 +92,7 @@
 func (o *Office) Cold(b Bound) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.started, o.bound, o.sets = time.Now(), b, nil
+	o.started, o.bound, o.sets, o.came = time.Now(), b, nil, nil
 }
 
 // Script changes how the office behaves.
@@ -211,6 +219,11 @@
 	late := !o.drained.IsZero() && now.Sub(o.drained) > time.Second
 	o.judgeCold(now)
 	s := o.script
+	if o.cold(now) {
+		if o.came = append(o.came, p.heard()); o.bound.Slow {
+			s.Work = time.Duration(float64(s.Work) / o.bound.part(now.Sub(o.started)))
+		}
+	}
 	wait := max(0, o.free.Sub(now))
 	full := s.Mode == Full || s.Queue > 0 && wait > s.Queue
 	missing := ""
@@ -263,15 +276,37 @@
 	return true
 }
 
+// cold tells whether the office is not warm yet.
+func (o *Office) cold(now time.Time) bool {
+	return !o.started.IsZero() && now.Sub(o.started) < o.bound.Cold && o.script.Work > 0
+}
+
+// Worst is the most that came to the office within Fall since it started cold, as a part of what it bears when, beside its
+// budget of N set-ups, 2 times the root of N and 2 more are put down to chance. It goes by when the system got each: an
+// office that reads late, on a busy machine, would see them come at once.
+func (o *Office) Worst() float64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	came := slices.SortedFunc(slices.Values(o.came), time.Time.Compare)
+	worst, first := 0.0, 0
+	for i, t := range came {
+		for t.Sub(came[first]) >= o.bound.Fall {
+			first++
+		}
+		budget := o.bound.Multiple * o.bound.part(t.Sub(o.started)) * o.bound.Fall.Seconds() / o.script.Work.Seconds()
+		worst = max(worst, float64(i+1-first)/(budget+2*math.Sqrt(budget)+2))
+	}
+	return worst
+}
+
 // judgeCold notes a set-up at a cold office, and whether the last stretch of Fall was too much for it. Its capacity
 // is one set-up each Work.
 func (o *Office) judgeCold(now time.Time) {
-	if o.started.IsZero() || now.Sub(o.started) >= o.bound.Cold || o.script.Work <= 0 {
+	if !o.cold(now) {
 		return
 	}
 	o.sets = append(slices.DeleteFunc(o.sets, func(t time.Time) bool { return now.Sub(t) > o.bound.Fall }), now)
-	part := o.bound.Start + (1-o.bound.Start)*now.Sub(o.started).Seconds()/o.bound.Cold.Seconds()
-	most := o.bound.Multiple * part * o.bound.Fall.Seconds() / o.script.Work.Seconds()
+	most := o.bound.Multiple * o.bound.part(now.Sub(o.started)) * o.bound.Fall.Seconds() / o.script.Work.Seconds()
 	if float64(len(o.sets)) > most && !o.fallen {
 		o.fallen = true
 		o.book.broken("cold office %s was pushed over: %d set-ups in %s, %.1f are the most", o.Name, len(o.sets), o.bound.Fall, most)
