Count a cut from its connection's end in the book, told behind or not

TestTakeOversUnderLoad failed on a busy machine with "call 542 was sent to s- 0 ms after an attempt that was given up or cut". The call was followed through the process and both stand-ins: its connection ended at 0 ms, the process knew at 3 ms and sent it again at 227 ms, as the guard of 200 ms asks. The first office's reader had not run yet when the second's took the set-up; Book.out then asked the connection when it had ended. The office had told its free lines on it meanwhile, so that it was reset and no longer in CLOSE_WAIT, for which pipe.ended(nil) says "now".

Book.out, which asks only of connections that are over, now takes the time at which the last came on it in each state, as the reader does a moment later. Without it TestCutCountsFromItsEnd prints "call 1 was sent to second 0 ms after an attempt that was given up or cut", 2 of 2.

--- a/internal/standin/book.go
+++ b/internal/standin/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"sync"
 	"time"
 
@@ -91,7 +92,7 @@
 	c := b.call(id)
 	b.Counts.Attempts++
 	if c.at != "" && c.on != on && c.on.over() { // the end of the other's connection has come and is not read yet
-		c.at, c.ended = "", c.on.ended(nil)
+		c.at, c.ended = "", c.on.ended(io.EOF) // something may have been written behind that end by now
 	}
 	if c.at != "" {
 		b.note("call %x has two attempts out, at %s and %s", id, c.at, office)
--- a/internal/standin/office_test.go
+++ b/internal/standin/office_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"pewterwheel/internal/wire"
 )
 
@@ -55,3 +57,33 @@
 		t.Errorf("%d calls stand whose release was heard", n)
 	}
 }
+
+// An attempt that was cut by its connection's end counts from that end on, also where it is not read until the next one is
+// out, and the office has told something behind it.
+func TestCutCountsFromItsEnd(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	peer, err := net.Dial("tcp4", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	p, book := &pipe{conn: conn}, NewBook()
+	book.out(1, "first", p, time.Now())
+	_ = peer.Close()
+	until(t, "the end", p.over)
+	_ = p.send(wire.Message{Type: wire.TypeGroup})
+	until(t, "the reset", func() bool { return p.info().State == unix.BPF_TCP_CLOSE })
+	time.Sleep(guard)
+	book.out(1, "second", &pipe{conn: conn}, time.Now())
+	if broken := book.Broken(); len(broken) > 0 {
+		t.Error(broken)
+	}
+}
