Write boxes of 32 KiB, so that one caller's long set-ups do not end an office's connection

A box was written once it held more than 64 KiB, and so could hold 80 KiB with one more long set-up. The engine ends a connection where a write and what waits are more than MaxWriteBufferSize, 64 KiB where memory is short (leastUnwritten), even if nothing waits: 20 set-ups of 16 KiB that one caller sends in one round ended the connection that all callers share.

A box is now written past 32 KiB, 48 KiB at most. Where it does not leave, the set-ups behind it wait, as they did. Without it TestLongSetUpsDoNotEndTheConnection prints "2 writes, one of 81135 bytes".

--- a/internal/session/gone_test.go
+++ b/internal/session/gone_test.go
@@ -258,3 +258,32 @@
 		}
 	}
 }
+
+// Long set-ups that come in one round and do not leave are not written past what may wait unsent: the connection to their
+// office, which all callers share, does not end by one caller's.
+func TestLongSetUpsDoNotEndTheConnection(t *testing.T) {
+	d := &sends{to: "s-00000001", until: 290_000}
+	p := newPlayerOf(t, Config{Sockets: 1024, Seed: 7, Node: func(decide.Settings, uint64) (Decider, error) { return d, nil }})
+	p.step()
+	p.play("5 a open")
+	p.conns["o1"].fills = true
+	wrote, most := 0, 0
+	p.wrote = func(c *fakeConn, b []byte) {
+		if c.name == "o1" {
+			wrote, most = wrote+1, max(most, len(b))
+		}
+	}
+	long := strings.Repeat("x", 16<<10-200)
+	var all []byte
+	for call := range 20 {
+		all = append(all, parse(t, strings.Replace(upFor(call+1, 0), "offer", long, 1))...)
+	}
+	p.now = 10_000
+	p.step(Arrival{Kind: Data, At: p.now, Conn: p.conns["a"], Data: all})
+	if wrote == 0 || most > 64<<10 {
+		t.Errorf("%d writes, one of %d bytes", wrote, most)
+	}
+	if out, queue := len(p.lane("s-00000001").Out), len(p.lane("s-00000001").Queue); out == 0 || queue == 0 || out+queue != 20 {
+		t.Errorf("%d set-ups are out, %d wait", out, queue)
+	}
+}
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -329,8 +329,9 @@
 	return s.now-s.stepped > standStill || slices.ContainsFunc(arrivals, func(a Arrival) bool { return s.now-a.At > standStill })
 }
 
-// maxBox is what may wait for a connection before it is written within the round.
-const maxBox = 64 << 10
+// maxBox is what may wait for a connection before it is written within the round. One message of 16 KiB more may be in it.
+// Guards against a write of more than the 64 KiB that may wait unsent, by which the engine ends the connection.
+const maxBox = 32 << 10
 
 // box is where messages for a connection are written behind each other; it is written at the end of the round.
 func (s *Session) box(to any, b *state.Outbox) *state.Outbox {
