Tell an office once more of set-ups that were stuck on a connection which has ended

Cause: where a set-up that has not left is given up its connection ends (session.giveUp), and the release goes on the next one; the office may hear it there before it reads the set-up from the old one, which its own system still holds. Ruled out: the stand-in's own crossing, mended before, and calls left open here.

Such a release is told again a second later, though it was heard. Without it TestStuckSetUpIsReleasedTwice prints 'told 0 times more'.

--- a/internal/session/gone_test.go
+++ b/internal/session/gone_test.go
@@ -318,3 +318,24 @@
 		t.Errorf("%d set-ups are out, %d wait", out, queue)
 	}
 }
+
+// An office may read a set-up that was stuck only after it has heard, on the next connection, that it was given up: it is told
+// once more.
+func TestStuckSetUpIsReleasedTwice(t *testing.T) {
+	p := newPlayer(t)
+	p.step()
+	p.play("5 b open")
+	p.conns["o2"].fills = true
+	p.play("10 b > " + upFor(2, 1))
+	p.play("100 b > " + giveUpOf(2)) // its connection ends, and the next one comes up
+	p.play("150 o2 > [10 0000000000000002]")
+	p.lines = nil
+	p.until(3_500_000)
+	if n := strings.Count(strings.Join(p.lines, "\n"), "o2 < "+giveUpOf(2)); n != 1 {
+		t.Errorf("the office was told %d times more:\n%s", n, strings.Join(p.lines, "\n"))
+	}
+	p.play("3600 o2 > [10 0000000000000002]")
+	if n := len(p.s.offices.Get("s-00000002").Ended); n != 0 {
+		t.Errorf("%d releases are still owed once they were heard again", n)
+	}
+}
--- a/internal/session/offices.go
+++ b/internal/session/offices.go
@@ -243,6 +243,9 @@
 	case wire.TypeRelease:
 		s.officeReleased(l, m, at)
 	case wire.TypeHeard:
+		if l.To.Ended[m.Call].Again > s.now {
+			break
+		}
 		delete(l.To.Ended, m.Call)
 		if s.lanes.laner != nil {
 			s.endHeard(l, m.Call)
@@ -492,7 +495,11 @@
 			continue
 		}
 		s.Counters[state.Resets]++
-		o.Ended[at.Call.ID] = state.Ending{Cause: wire.CauseNormal, At: s.now, On: l.Number}
+		end := state.Ending{Cause: wire.CauseNormal, At: s.now, On: l.Number}
+		if errors.Is(err, errStuck) {
+			end.Again = s.now + tellAfter
+		}
+		o.Ended[at.Call.ID] = end
 		if s.lanes.laner != nil {
 			s.saw(pooling.LaneLost, at.Call.ID, 0, nil)
 		}
@@ -517,6 +524,18 @@
 	s.redial(o)
 }
 
+// tellAgain tells an office once more of set-ups that were given up with a connection on which they were stuck. Guards against
+// an office that reads them only then, having heard of their end on the next connection: they would stand for nobody.
+func (s *Session) tellAgain(o *state.Office) {
+	for call, e := range inOrder(o.Ended) {
+		if e.Again != 0 && s.now >= e.Again && o.Conn != nil {
+			e.Again = 0
+			o.Ended[call] = e
+			s.toOffice(&o.Lane, call, e.Cause)
+		}
+	}
+}
+
 // pulsed learns the usual time between two tellings, of all offices and of this one. Guards against one that was late,
 // after which the next seems early, or of which several were missed: a gap counts for half to twice what is usual; and
 // against a burst of them, after which every office would seem late.
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -126,6 +126,8 @@
 	// call of before our start.
 	remember = 20_000_000
 	sweep    = 1_000_000
+	// tellAfter is how much later an office is told once more of set-ups that were stuck on a connection which has ended.
+	tellAfter = 1_000_000
 	// unsureFor: a caller that closes so soon after a release was written to it, and has not said that it heard
 	// it, may not have read it.
 	unsureFor = 6_000_000
@@ -678,6 +680,7 @@
 	}
 	for _, o := range s.offices.All() {
 		maps.DeleteFunc(o.Ended, old)
+		s.tellAgain(o)
 		o.Strays = 0
 	}
 	if s.lanes.laner != nil {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -190,6 +190,7 @@
 	At    int64
 	Sent  bool   // to a caller of whom it is not known whether it is a usual one
 	On    uint32 // number of the lane on which it was sent to an office
+	Again int64  // when it is told an office once more, though it was heard; 0: it is not
 }
 
 // Lane is a connection to an office, or one that is to be, and what is open on it.
