Name the entry registry, views and modules by the field's terms; two message kinds

Need: the packages that carry control traffic are to be read by newcomers (Book, Board, Part, Crowd, Slower), and the work on capacity needs message kinds for figures and repair. Change: Registry, ViewHolder, Module, MembersPerSlot, IntervalFactor; kinds 5 and 6 and what a module may ask of the agent for them. Nothing sends them yet. Measured: tests of fleet, agent, fleetnet pass.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -32,10 +32,10 @@
 	Settings            uint64 // digest of the settings it goes by
 	Roster              uint64 // number of the roster it knows
 	Net                 fleetnet.Net
-	Board               *fleet.Board // nil: one of its own
+	Views               *fleet.ViewHolder // nil: one of its own
 	// Make makes the parts, one of a kind at the most, for a life of this number. They are made when the process has had time to
 	// hear of an earlier life of its own, whose clock may have been ahead; and anew, knowing nothing, if it hears of one later.
-	Make  func(life uint64) []fleet.Part
+	Make  func(life uint64) []fleet.Module
 	First map[fleet.Kind][]byte // parts of the own entry until the modules tell theirs
 	Wake  <-chan struct{}       // asks for a Tick of all parts before it is due; nil: nothing does
 	// Do carries out an act; it may take its time, on a goroutine of the agent's. What came of it goes to Part.Done. nil: every
@@ -51,7 +51,7 @@
 	Length int64 // of a window; 0: a second
 
 	Queue         int   // posted observations that wait at the most; 0: 1024
-	Stale, Absent int64 // as of fleet.Book
+	Stale, Absent int64 // as of fleet.Registry
 }
 
 const (
@@ -112,19 +112,19 @@
 
 // Agent is one process's agent.
 type Agent struct {
-	cfg    Config
-	parts  []fleet.Part
-	book   *fleet.Book
-	board  *fleet.Board
-	log    *slog.Logger
-	posted chan func(now int64, out *fleet.Out)
-	acts   chan ended
-	states chan fleet.State
-	stop   chan struct{}
-	over   chan struct{}
-	once   sync.Once
-	doing  sync.WaitGroup
-	slots  chan struct{}
+	cfg      Config
+	parts    []fleet.Module
+	registry *fleet.Registry
+	views    *fleet.ViewHolder
+	log      *slog.Logger
+	posted   chan func(now int64, out *fleet.Out)
+	acts     chan ended
+	states   chan fleet.State
+	stop     chan struct{}
+	over     chan struct{}
+	once     sync.Once
+	doing    sync.WaitGroup
+	slots    chan struct{}
 
 	now     int64
 	out     fleet.Out
@@ -140,7 +140,7 @@
 	seen    int64   // when views were last looked at
 	twice   int64   // when a name that is used twice was last logged
 
-	dropped, refused, notes, views atomic.Uint64
+	dropped, refused, notes, viewsMade atomic.Uint64
 }
 
 // New returns an agent. Run starts it.
@@ -160,8 +160,8 @@
 	if cfg.Queue == 0 {
 		cfg.Queue = usualQueue
 	}
-	if cfg.Board == nil {
-		cfg.Board = &fleet.Board{}
+	if cfg.Views == nil {
+		cfg.Views = &fleet.ViewHolder{}
 	}
 	if cfg.Log == nil {
 		cfg.Log = slog.New(slog.DiscardHandler)
@@ -169,19 +169,19 @@
 	if cfg.Do == nil {
 		cfg.Do = func(act fleet.Act) error { return &ActError{act.What, "nothing here does it"} }
 	}
-	a := &Agent{cfg: cfg, board: cfg.Board, log: cfg.Log, posted: make(chan func(int64, *fleet.Out), cfg.Queue),
+	a := &Agent{cfg: cfg, views: cfg.Views, log: cfg.Log, posted: make(chan func(int64, *fleet.Out), cfg.Queue),
 		acts: make(chan ended, maxActs), states: make(chan fleet.State, 8), stop: make(chan struct{}), over: make(chan struct{}), slots: make(chan struct{}, maxActs), metrics: newMetrics()}
-	a.book = fleet.NewBook(fleet.Entry{Name: cfg.Self, Incarnation: uint64(max(1, cfg.Wall())), Zone: cfg.Zone, Program: cfg.Program,
+	a.registry = fleet.NewRegistry(fleet.Entry{Name: cfg.Self, Incarnation: uint64(max(1, cfg.Wall())), Zone: cfg.Zone, Program: cfg.Program,
 		Settings: cfg.Settings, Roster: cfg.Roster, State: fleet.Starting, Parts: cfg.First})
-	a.book.Stale, a.book.Absent = cfg.Stale, cfg.Absent
+	a.registry.Stale, a.registry.Absent = cfg.Stale, cfg.Absent
 	if failpoint.On("gone-is-left") {
-		a.book.Absent = 1
+		a.registry.Absent = 1
 	}
 	return a
 }
 
-// Board is where the newest view stands.
-func (a *Agent) Board() *fleet.Board { return a.board }
+// Views is where the newest view stands.
+func (a *Agent) Views() *fleet.ViewHolder { return a.views }
 
 // Post hands the parts something that was seen elsewhere, as in the loop of calls: f is called on the agent's goroutine, and
 // what it wants done is done. It never waits; false: the queue was full, and it was dropped and counted.
@@ -209,7 +209,7 @@
 // Goes says by which settings and roster the process goes from now on.
 func (a *Agent) Goes(settings, roster uint64) bool {
 	return a.Post(func(int64, *fleet.Out) {
-		a.book.Write(func(e *fleet.Entry) { e.Settings, e.Roster = settings, roster })
+		a.registry.Write(func(e *fleet.Entry) { e.Settings, e.Roster = settings, roster })
 		a.dirty = true
 	})
 }
@@ -227,7 +227,7 @@
 	a.now = a.cfg.Clock()
 	a.begun, a.told, a.seen = a.now, a.now-soonest, a.now-soonest
 	a.cpu = processor()
-	a.cfg.Net.Spread(a.cfg.Self, a.book.Write(func(*fleet.Entry) {}))
+	a.cfg.Net.Spread(a.cfg.Self, a.registry.Write(func(*fleet.Entry) {}))
 	a.make = a.now + settleIn
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -315,9 +315,9 @@
 	}
 	if a.now-a.seen >= soonest {
 		a.seen = a.now
-		if v := a.book.View(a.now); v != nil {
-			a.views.Add(1)
-			a.board.Post(v)
+		if v := a.registry.View(a.now); v != nil {
+			a.viewsMade.Add(1)
+			a.views.Post(v)
 			for _, p := range a.parts {
 				p.View(a.now, v, &a.out)
 				a.carry()
@@ -332,12 +332,12 @@
 		return
 	}
 	a.local = nil
-	a.parts = a.cfg.Make(a.book.Own().Incarnation)
+	a.parts = a.cfg.Make(a.registry.Own().Incarnation)
 	for _, p := range a.parts {
 		p.Start(a.now, &a.out)
 		a.carry()
 	}
-	if v := a.board.Read(); v != nil {
+	if v := a.views.Read(); v != nil {
 		for _, p := range a.parts {
 			p.View(a.now, v, &a.out)
 			a.carry()
@@ -355,7 +355,7 @@
 		if failpoint.On("deaf-own") && ofName(e.Bytes, a.cfg.Self) {
 			return
 		}
-		name, spread, err := a.book.Take(a.now, e.Bytes)
+		name, spread, err := a.registry.Take(a.now, e.Bytes)
 		if err != nil && (a.twice == 0 || a.now-a.twice > 60_000_000) {
 			a.twice = a.now
 			a.log.Warn("entry passed by", "error", err, advice.Attr(err))
@@ -363,14 +363,14 @@
 		if spread != nil {
 			a.cfg.Net.Spread(name, spread)
 			if name == a.cfg.Self && a.make == 0 { // a higher life: the parts' messages were those of a lower one
-				a.log.Info("a later life under this name is taken", "life", a.book.Own().Incarnation)
+				a.log.Info("a later life under this name is taken", "life", a.registry.Own().Incarnation)
 				a.begin()
 			}
 		}
 	case fleetnet.Up:
-		a.book.Up(a.now, e.Name)
+		a.registry.Up(a.now, e.Name)
 	case fleetnet.Gone:
-		a.book.Gone(a.now, e.Name)
+		a.registry.Gone(a.now, e.Name)
 	}
 }
 
@@ -398,10 +398,10 @@
 }
 
 func (a *Agent) state(s fleet.State) {
-	if a.book.Own().State >= s {
+	if a.registry.Own().State >= s {
 		return // lives do not run backwards
 	}
-	a.cfg.Net.Spread(a.cfg.Self, a.book.Write(func(e *fleet.Entry) { e.State = s }))
+	a.cfg.Net.Spread(a.cfg.Self, a.registry.Write(func(e *fleet.Entry) { e.State = s }))
 	a.told = a.now
 	a.log.Info("fleet", "self", a.cfg.Self, "state", uint8(s))
 }
@@ -450,7 +450,7 @@
 		a.refused.Add(1)
 		return
 	}
-	a.book.Write(func(e *fleet.Entry) {
+	a.registry.Write(func(e *fleet.Entry) {
 		if e.Parts == nil {
 			e.Parts = map[fleet.Kind][]byte{}
 		}
@@ -501,7 +501,7 @@
 }
 
 // length is that of a window: longer where there are many processes.
-func (a *Agent) length() int64 { return a.cfg.Length * a.book.Slower() }
+func (a *Agent) length() int64 { return a.cfg.Length * a.registry.IntervalFactor() }
 
 func (a *Agent) number() uint64 {
 	if n := len(a.windows); n > 0 {
@@ -513,7 +513,7 @@
 // tell writes the own entry anew and spreads it.
 func (a *Agent) tell() {
 	a.dirty, a.told = false, a.now
-	a.cfg.Net.Spread(a.cfg.Self, a.book.Write(func(e *fleet.Entry) { e.Windows = a.windows }))
+	a.cfg.Net.Spread(a.cfg.Self, a.registry.Write(func(e *fleet.Entry) { e.Windows = a.windows }))
 }
 
 // leave says that this process goes, and ends.
@@ -536,7 +536,7 @@
 func (a *Agent) snapshot() {
 	var fs []figure
 	put := func(name string, n uint64, gauge bool) { fs = append(fs, figure{name, n, gauge}) }
-	v := a.board.Read()
+	v := a.views.Read()
 	members, suspected := 0, 0
 	if v != nil {
 		for i := range v.Members {
@@ -545,21 +545,21 @@
 			}
 		}
 	}
-	c := &a.book.Counts
-	size, known := a.book.Size()
+	c := &a.registry.Counts
+	size, known := a.registry.Size()
 	put("fleet_members", uint64(members), true)
 	put("fleet_suspected", uint64(suspected), true)
 	put("fleet_known", uint64(known), true)
 	put("fleet_bytes_kept", uint64(size), true)
-	put("fleet_state", uint64(a.book.Own().State), true)
-	put("fleet_roster", a.book.Own().Roster, true)
+	put("fleet_state", uint64(a.registry.Own().State), true)
+	put("fleet_roster", a.registry.Own().Roster, true)
 	put("fleet_entries", c.Entries, false)
 	put("fleet_entries_old", c.Old, false)
 	put("fleet_entries_garbage", c.Garbage, false)
 	put("fleet_entries_full", c.Full, false)
 	put("fleet_entries_over", c.Over, false)
 	put("fleet_lives_raised", c.Raised, false)
-	put("fleet_views", a.views.Load(), false)
+	put("fleet_views", a.viewsMade.Load(), false)
 	put("fleet_notes", a.notes.Load(), false)
 	put("fleet_posts_dropped", a.dropped.Load(), false)
 	put("fleet_refused", a.refused.Load(), false)
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -127,7 +127,7 @@
 			cfg.Wall = func() int64 { return 1000 }
 		}
 		if cfg.Make == nil {
-			cfg.Make = func(uint64) []fleet.Part { return []fleet.Part{p} }
+			cfg.Make = func(uint64) []fleet.Module { return []fleet.Module{p} }
 		}
 		a := New(cfg)
 		go a.Run()
@@ -167,7 +167,7 @@
 			return nil
 		}}
 	inBubble(t, cfg, p, func(a *Agent, n *fakeNet) {
-		if v := a.Board().Read(); v == nil || v.Member("a").Program != "v1" || has(a, p, "start") != 1 || has(a, p, "view of 1") < 1 {
+		if v := a.Views().Read(); v == nil || v.Member("a").Program != "v1" || has(a, p, "start") != 1 || has(a, p, "view of 1") < 1 {
 			t.Errorf("%+v", v)
 		}
 		a.State(fleet.Serving)
@@ -261,11 +261,11 @@
 
 // A process that starts with its clock behind hears of its earlier life, takes a later one, and its parts are made for that.
 func TestLaterLife(t *testing.T) {
-	earlier := fleet.NewBook(fleet.Entry{Name: "a", Incarnation: 90_000, State: fleet.Serving})
+	earlier := fleet.NewRegistry(fleet.Entry{Name: "a", Incarnation: 90_000, State: fleet.Serving})
 	raw := earlier.Write(func(*fleet.Entry) {})
 	var lives []uint64
 	p := &fakePart{kind: fleet.Lease}
-	inBubble(t, Config{Make: func(life uint64) []fleet.Part { lives = append(lives, life); return []fleet.Part{p} }}, p, func(a *Agent, n *fakeNet) {
+	inBubble(t, Config{Make: func(life uint64) []fleet.Module { lives = append(lives, life); return []fleet.Module{p} }}, p, func(a *Agent, n *fakeNet) {
 		n.events <- fleetnet.Event{Kind: fleetnet.Entry, Bytes: raw}
 		time.Sleep(time.Second)
 		synctest.Wait()
@@ -287,13 +287,13 @@
 		}
 		p := &fakePart{kind: fleet.Lease}
 		parts[self] = p
-		agents[self] = New(Config{Self: self, Net: open, Length: 100_000, Make: func(uint64) []fleet.Part { return []fleet.Part{p} }})
+		agents[self] = New(Config{Self: self, Net: open, Length: 100_000, Make: func(uint64) []fleet.Module { return []fleet.Module{p} }})
 		go agents[self].Run()
 		t.Cleanup(agents[self].Stop)
 	}
 	for self, a := range agents {
 		for by := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
-			v := a.Board().Read()
+			v := a.Views().Read()
 			other := v.Member(map[string]string{"a": "b", "b": "a"}[self])
 			if other != nil && !other.Suspect && len(other.Windows) > 2 {
 				break
--- a/internal/agent/claimer.go
+++ b/internal/agent/claimer.go
@@ -26,11 +26,11 @@
 }
 
 // NewClaimer returns a claimer; none if the failpoint is off.
-func NewClaimer(l lease.Lessor) []fleet.Part {
+func NewClaimer(l lease.Lessor) []fleet.Module {
 	if l == nil || failpoint.Value("claim") == "" {
 		return nil
 	}
-	return []fleet.Part{&Claimer{Lessor: l, thing: failpoint.Value("claim"), next: math.MaxInt64}}
+	return []fleet.Module{&Claimer{Lessor: l, thing: failpoint.Value("claim"), next: math.MaxInt64}}
 }
 
 // Kind is one that nobody speaks.
--- a/internal/fleet/coding.go
+++ b/internal/fleet/coding.go
@@ -177,7 +177,7 @@
 		case len(windows) == 1:
 			windows = nil
 		default:
-			return b // parts of a size that Tell refuses; Book counts it
+			return b // parts of a size that Tell refuses; Registry counts it
 		}
 	}
 }
--- a/internal/fleet/coding_test.go
+++ b/internal/fleet/coding_test.go
@@ -201,7 +201,7 @@
 		if third := twice.Encode(); !bytes.Equal(third, again) {
 			t.Fatalf("%x\n%x", again, third)
 		}
-		book := NewBook(Entry{Name: "a", State: Serving})
+		book := NewRegistry(Entry{Name: "a", State: Serving})
 		if _, _, err := book.Take(1, b); err != nil && e.Name != "a" {
 			t.Fatal(err)
 		}
--- a/internal/fleet/part.go
+++ b/internal/fleet/module.go
@@ -13,6 +13,8 @@
 	Stage   Kind = 2
 	Keeper  Kind = 3
 	Pooling Kind = 4
+	Figures Kind = 5 // windows of figures, and who asks for them (internal/aggregate)
+	Repair  Kind = 6 // digests of what is known of the members (internal/dissemination)
 )
 
 // MaxBody bounds the body of a message and each part of an entry, in bytes. A message fits one datagram.
@@ -25,7 +27,7 @@
 	Body     []byte // the module's own, CBOR; MaxBody at the most
 }
 
-// Act is something to be done in this process, away from the loop of calls. What came of it comes back by Part.Done.
+// Act is something to be done in this process, away from the loop of calls. What came of it comes back by Module.Done.
 type Act struct {
 	Kind   Kind
 	Number uint64 // the module's own, to know it again by
@@ -51,6 +53,20 @@
 	Acts  []Act
 	Notes []Note
 	Parts map[Kind][]byte // new contents of the process's own entry; made by Tell
+	Heard []HeardWindow   // figures of other processes, to stand in the next view
+	Pass  []PassedEntry   // entries of the registry that one process is to be sent
+}
+
+// HeardWindow are figures that a process was sent by the one whose they are.
+type HeardWindow struct {
+	Name        string
+	Incarnation uint64
+	Window      Window
+}
+
+// PassedEntry asks for the newest entry of a member, as the registry has it, to be sent to one process.
+type PassedEntry struct {
+	To, Name string
 }
 
 // Tell puts a module's part of the process's own entry in place of what stood there; nil takes it out.
@@ -61,9 +77,9 @@
 	o.Parts[k] = body
 }
 
-// Part is a module's state machine in one process. All calls come from one goroutine, never the loop of calls, with
+// Module is a module's state machine in one process. All calls come from one goroutine, never the loop of calls, with
 // times that do not run backwards. It starts knowing nothing: whatever it needs of an earlier life it learns from others.
-type Part interface {
+type Module interface {
 	Kind() Kind
 	// Start comes once, first.
 	Start(now int64, out *Out)
--- a/internal/fleet/book.go
+++ b/internal/fleet/registry.go
@@ -8,24 +8,24 @@
 	"slices"
 )
 
-// Times and bounds of a Book, in microseconds.
+// Times and bounds of a Registry, in microseconds.
 const (
 	// DefaultStale: a process of which nothing newer has been heard for this long is suspected, also where the membership
 	// still sees it: it may be stopped, or cut off in one direction.
 	DefaultStale = 5_000_000
 	// DefaultAbsent: a suspected process is left out of the view after this. Nothing exclusive may hang on it.
 	DefaultAbsent = 300_000_000
-	// Crowd processes can tell of themselves once a second within what spreads from each; where there are more, all tell so many
+	// MembersPerSlot processes can tell of themselves once a second within what spreads from each; where there are more, all tell so many
 	// times less often, their windows are so many times longer, and it takes so many times longer until quiet is suspect.
-	Crowd = 32
+	MembersPerSlot = 32
 	// leftFor: one that said that it leaves is left out after this, if the membership has not reported its end before.
 	leftFor = 10_000_000
 	// MaxMembers bounds the processes of a fleet, those included that are gone and remembered. With MaxEntry it bounds the
 	// memory for coded entries: 24 MiB; three hundred processes with entries of 2 KiB take 0.6 MiB.
 	MaxMembers = 4096
-	// maxRaised: so many times a process takes a higher life than one it hears of its own name, before it says that the
+	// maxIncarnationBumps: so many times a process takes a higher life than one it hears of its own name, before it says that the
 	// name is used twice. One is usual after a start with a clock that stepped back.
-	maxRaised = 3
+	maxIncarnationBumps = 3
 )
 
 // NameTwiceError is a second living process under this one's name.
@@ -75,10 +75,10 @@
 	bad   bool  // suspected, as the last view has it
 }
 
-// Book merges the entries of all processes as one of them hears them. Only its own process writes that one's entry. It
+// Registry merges the entries of all processes as one of them hears them. Only its own process writes that one's entry. It
 // belongs to one goroutine. Between two books that were told the same entries, in whatever order and how often, the entries
 // are the same; what is suspected is each one's own.
-type Book struct {
+type Registry struct {
 	Counts Counts
 	Stale  int64 // microseconds; DefaultStale where it is 0
 	Absent int64 // microseconds; DefaultAbsent where it is 0
@@ -93,21 +93,21 @@
 	loose   bool // only for tests: an earlier life may shadow a later one
 }
 
-// NewBook returns the book of a process that starts: self with a Name, an Incarnation from a wall clock, which may be wrong,
+// NewRegistry returns the book of a process that starts: self with a Name, an Incarnation from a wall clock, which may be wrong,
 // and what else it knows of itself. Its Version becomes 1.
-func NewBook(self Entry) *Book {
+func NewRegistry(self Entry) *Registry {
 	self.Incarnation = min(max(1, self.Incarnation), maxIncarnation)
 	self.Version = 0
-	b := &Book{own: &self, records: map[string]*record{}}
+	b := &Registry{own: &self, records: map[string]*record{}}
 	b.Write(func(*Entry) {})
 	return b
 }
 
 // Own is the process's own entry as it stands. It must not be written to but in Write.
-func (b *Book) Own() *Entry { return b.own }
+func (b *Registry) Own() *Entry { return b.own }
 
 // Write changes the process's own entry and returns it, coded, to be spread. Name, life and version are the book's.
-func (b *Book) Write(change func(*Entry)) []byte {
+func (b *Registry) Write(change func(*Entry)) []byte {
 	e := *b.own // views hold the last one
 	e.Windows, e.Parts = slices.Clone(e.Windows), maps.Clone(e.Parts)
 	change(&e)
@@ -135,7 +135,7 @@
 // Take takes in a coded entry that came from anywhere. Spread is what is to be passed on: the entry where it was newer than
 // what was known, or the process's own where it had to take a higher life; nil: nothing. Name is whose entry Spread is. The
 // error is an *EntryError, a *FullError or a *NameTwiceError; it is counted, and nothing else has to be done about it.
-func (b *Book) Take(now int64, raw []byte) (name string, spread []byte, err error) {
+func (b *Registry) Take(now int64, raw []byte) (name string, spread []byte, err error) {
 	e, err := DecodeEntry(raw)
 	if err != nil {
 		b.Counts.Garbage++
@@ -167,7 +167,7 @@
 
 // after tells whether an entry takes the place of what is known. Two of one life and version should not be; where they
 // differ all the same, all books choose alike.
-func (b *Book) after(e *Entry, raw []byte, r *record) bool {
+func (b *Registry) after(e *Entry, raw []byte, r *record) bool {
 	if b.loose {
 		return e.Version > r.entry.Version
 	}
@@ -179,7 +179,7 @@
 
 // ofOwn takes what is told of this process. An earlier life whose clock was ahead of this one's would shadow it, so this
 // life takes a higher number.
-func (b *Book) ofOwn(e *Entry, raw []byte) (string, []byte, error) {
+func (b *Registry) ofOwn(e *Entry, raw []byte) (string, []byte, error) {
 	o := b.own
 	if e.Incarnation < o.Incarnation || e.Incarnation == o.Incarnation && (e.Version < o.Version || bytes.Equal(raw, b.ownRaw)) {
 		b.Counts.Old++
@@ -191,14 +191,14 @@
 	next.Incarnation, next.Version = min(e.Incarnation+1, maxIncarnation), 0
 	b.own = &next
 	spread := b.Write(func(*Entry) {})
-	if b.raised > maxRaised {
+	if b.raised > maxIncarnationBumps {
 		return o.Name, spread, &NameTwiceError{o.Name, b.raised}
 	}
 	return o.Name, spread, nil
 }
 
 // makeRoom forgets the process that has been out of the view for longest.
-func (b *Book) makeRoom() bool {
+func (b *Registry) makeRoom() bool {
 	oldest := ""
 	for name, r := range b.records {
 		if r.left && (oldest == "" || cmp.Or(cmp.Compare(r.heard, b.records[oldest].heard), cmp.Compare(name, oldest)) < 0) {
@@ -209,27 +209,27 @@
 	return oldest != ""
 }
 
-// Slower is how many times less often than each window's usual length processes tell of themselves, for their number. Whom
+// IntervalFactor is how many times less often than each window's usual length processes tell of themselves, for their number. Whom
 // this process shows is counted, so it does not jump when many are remembered that have gone.
-func (b *Book) Slower() int64 { return 1 + int64(b.shown/Crowd) }
+func (b *Registry) IntervalFactor() int64 { return 1 + int64(b.shown/MembersPerSlot) }
 
 // Up says that the membership sees a process.
-func (b *Book) Up(now int64, name string) {
+func (b *Registry) Up(now int64, name string) {
 	if r := b.records[name]; r != nil && r.gone != 0 {
 		r.gone, r.heard, b.changed = 0, now, true
 	}
 }
 
 // Gone says that the membership no longer sees a process. That is no proof of its end.
-func (b *Book) Gone(now int64, name string) {
+func (b *Registry) Gone(now int64, name string) {
 	if r := b.records[name]; r != nil && r.gone == 0 {
 		r.gone, b.changed = max(1, now), true
 	}
 }
 
 // stateOf tells whether a process is suspected, and whether it is left out of the view.
-func (b *Book) stateOf(now int64, r *record) (suspect, left bool) {
-	stale, absent := cmp.Or(b.Stale, DefaultStale)*b.Slower(), cmp.Or(b.Absent, DefaultAbsent)
+func (b *Registry) stateOf(now int64, r *record) (suspect, left bool) {
+	stale, absent := cmp.Or(b.Stale, DefaultStale)*b.IntervalFactor(), cmp.Or(b.Absent, DefaultAbsent)
 	quiet := now - r.heard
 	if r.entry.State == Leaving && (r.gone != 0 || quiet >= leftFor) {
 		return true, true
@@ -240,7 +240,7 @@
 }
 
 // View returns a new view if anything has changed since the last one; nil: nothing has.
-func (b *Book) View(now int64) *View {
+func (b *Registry) View(now int64) *View {
 	for _, r := range b.records {
 		suspect, left := b.stateOf(now, r)
 		if suspect != r.bad || left != r.left {
@@ -265,7 +265,7 @@
 }
 
 // Known gives the coded entries of all that are known and in the view, by name.
-func (b *Book) Known(put func(name string, raw []byte)) {
+func (b *Registry) Known(put func(name string, raw []byte)) {
 	put(b.own.Name, b.ownRaw)
 	for _, name := range slices.Sorted(maps.Keys(b.records)) {
 		if r := b.records[name]; !r.left {
@@ -275,7 +275,7 @@
 }
 
 // Size is how many bytes of coded entries are kept, and of how many processes, this one included.
-func (b *Book) Size() (bytes, processes int) {
+func (b *Registry) Size() (bytes, processes int) {
 	bytes = len(b.ownRaw)
 	for _, r := range b.records {
 		bytes += len(r.raw)
--- a/internal/fleet/book_test.go
+++ b/internal/fleet/registry_test.go
@@ -10,19 +10,19 @@
 	"pgregory.net/rapid"
 )
 
-func known(b *Book) map[string]string {
+func known(b *Registry) map[string]string {
 	m := map[string]string{}
 	b.Known(func(name string, raw []byte) { m[name] = string(raw) })
 	return m
 }
 
-func others(b *Book) map[string]string {
+func others(b *Registry) map[string]string {
 	m := known(b)
 	delete(m, b.Own().Name)
 	return m
 }
 
-func take(b *Book, raw []byte) { _, _, _ = b.Take(1, raw) }
+func take(b *Registry, raw []byte) { _, _, _ = b.Take(1, raw) }
 
 // The merge of entries does not depend on their order, on how often they come, or on who passed them on in which groups.
 func TestMergeIsAJoin(t *testing.T) {
@@ -33,7 +33,7 @@
 			e.State = Serving // one that leaves is left out of Known at its own time
 			all = append(all, e.Encode())
 		}
-		book := func() *Book { return NewBook(Entry{Name: "a", Incarnation: 1, State: Serving}) }
+		book := func() *Registry { return NewRegistry(Entry{Name: "a", Incarnation: 1, State: Serving}) }
 		straight, shuffled, grouped := book(), book(), book()
 		for _, raw := range all {
 			take(straight, raw)
@@ -49,7 +49,7 @@
 		for _, raw := range all[cut:] {
 			take(right, raw)
 		}
-		for _, part := range []*Book{right, left} { // what each has made of its part
+		for _, part := range []*Registry{right, left} { // what each has made of its part
 			for _, raw := range others(part) {
 				take(grouped, []byte(raw))
 			}
@@ -73,12 +73,12 @@
 // earlier plays a process that restarts with its clock a day back and hears of its earlier life. It returns what a third
 // process knows of it in the end.
 func earlier(loose bool) *Entry {
-	old, third := NewBook(Entry{Name: "b", Incarnation: 1000, State: Serving, Program: "old"}), NewBook(Entry{Name: "c", Incarnation: 1, State: Serving})
+	old, third := NewRegistry(Entry{Name: "b", Incarnation: 1000, State: Serving, Program: "old"}), NewRegistry(Entry{Name: "c", Incarnation: 1, State: Serving})
 	third.loose = loose
 	for range 5 {
 		take(third, old.Write(func(*Entry) {}))
 	}
-	again := NewBook(Entry{Name: "b", Incarnation: 10, State: Serving, Program: "new"})
+	again := NewRegistry(Entry{Name: "b", Incarnation: 10, State: Serving, Program: "new"})
 	take(third, []byte(known(again)["b"])) // too low a life: passed by
 	for _, raw := range known(third) {
 		if _, spread, _ := again.Take(2, []byte(raw)); spread != nil {
@@ -91,7 +91,7 @@
 	return third.records["b"].entry
 }
 
-func (b *Book) replays() func(func([]byte) bool) {
+func (b *Registry) replays() func(func([]byte) bool) {
 	return func(yield func([]byte) bool) { yield(b.ownRaw) }
 }
 
@@ -108,11 +108,11 @@
 // Its own entry is nobody else's to write: an echo changes nothing, another one makes it take a higher life, and a name that
 // is used twice is told.
 func TestOwnEntryIsItsOwn(t *testing.T) {
-	b := NewBook(Entry{Name: "a", Incarnation: 5, State: Serving})
+	b := NewRegistry(Entry{Name: "a", Incarnation: 5, State: Serving})
 	if _, spread, err := b.Take(1, []byte(known(b)["a"])); spread != nil || err != nil || b.Own().Incarnation != 5 {
 		t.Errorf("an echo gave %d, %v", b.Own().Incarnation, err)
 	}
-	twin := NewBook(Entry{Name: "a", Incarnation: 7, State: Serving})
+	twin := NewRegistry(Entry{Name: "a", Incarnation: 7, State: Serving})
 	var twice *NameTwiceError
 	for range 10 {
 		if _, spread, err := b.Take(1, twin.ownRaw); spread != nil && errors.As(err, &twice) {
@@ -130,8 +130,8 @@
 // Nobody is taken for dead: who is no longer seen, or from whom nothing comes, is suspected, and left out only after the
 // bound; who said that it leaves is left out at once; who comes back is shown again.
 func TestSuspicionIsNotDeath(t *testing.T) {
-	b := NewBook(Entry{Name: "a", Incarnation: 1, State: Serving})
-	other := NewBook(Entry{Name: "b", Incarnation: 1, State: Serving})
+	b := NewRegistry(Entry{Name: "a", Incarnation: 1, State: Serving})
+	other := NewRegistry(Entry{Name: "b", Incarnation: 1, State: Serving})
 	now := int64(1)
 	shown := func() string {
 		b.changed = true
@@ -166,7 +166,7 @@
 	b.Up(now, "b")
 	at(0, "yes")
 	b.Gone(now, "b")
-	other = NewBook(Entry{Name: "b", Incarnation: 2, State: Serving}) // a later life
+	other = NewRegistry(Entry{Name: "b", Incarnation: 2, State: Serving}) // a later life
 	hear()
 	at(0, "yes")
 	_, _, _ = b.Take(now, other.Write(func(e *Entry) { e.State = Leaving }))
@@ -177,7 +177,7 @@
 
 // Bytes kept are bounded, and so is the number of processes: the longest gone make room, and then no more are taken.
 func TestBookIsBounded(t *testing.T) {
-	b := NewBook(Entry{Name: "a", Incarnation: 1, State: Serving})
+	b := NewRegistry(Entry{Name: "a", Incarnation: 1, State: Serving})
 	raw := func(i int) []byte {
 		e := Entry{Name: fmt.Sprintf("n%d", i), Incarnation: 1, Version: 1, State: Serving, Parts: map[Kind][]byte{}}
 		for k := range Kind(4) {
@@ -209,14 +209,14 @@
 
 // Where there are many processes each tells of itself less often, and its quiet is suspected later.
 func TestManyAreSlower(t *testing.T) {
-	b := NewBook(Entry{Name: "a", Incarnation: 1, State: Serving})
-	for i := range 10 * Crowd {
+	b := NewRegistry(Entry{Name: "a", Incarnation: 1, State: Serving})
+	for i := range 10 * MembersPerSlot {
 		e := Entry{Name: fmt.Sprintf("n%d", i), Incarnation: 1, Version: 1, State: Serving}
 		take(b, e.Encode())
 	}
 	b.View(2)
-	if b.Slower() != 11 {
-		t.Errorf("%d times slower", b.Slower())
+	if b.IntervalFactor() != 11 {
+		t.Errorf("%d times slower", b.IntervalFactor())
 	}
 	if v := b.View(DefaultStale + 2); v != nil {
 		t.Errorf("%+v is suspected", v.Members[1].Name)
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -37,11 +37,11 @@
 	return nil
 }
 
-// Board is where the newest view stands. One goroutine posts; any may read, without a lock or an allocation.
-type Board struct{ view atomic.Pointer[View] }
+// ViewHolder is where the newest view stands. One goroutine posts; any may read, without a lock or an allocation.
+type ViewHolder struct{ view atomic.Pointer[View] }
 
 // Post puts a view in place of the last.
-func (b *Board) Post(v *View) { b.view.Store(v) }
+func (b *ViewHolder) Post(v *View) { b.view.Store(v) }
 
 // Read returns the newest view; nil: there is none yet.
-func (b *Board) Read() *View { return b.view.Load() }
+func (b *ViewHolder) Read() *View { return b.view.Load() }
--- a/internal/fleet/board_test.go
+++ b/internal/fleet/viewholder_test.go
@@ -10,7 +10,7 @@
 
 // Readers see whole views, each no older than the last, while another goroutine posts; the race detector looks on.
 func TestBoardUnderReaders(t *testing.T) {
-	var board Board
+	var board ViewHolder
 	var stop atomic.Bool
 	var wg sync.WaitGroup
 	for range 8 {
@@ -43,10 +43,10 @@
 	}
 }
 
-// What a read costs with 8 readers and 1,000 updates a second, beside the usual ways: go test -bench Board -cpu 8.
+// What a read costs with 8 readers and 1,000 updates a second, beside the usual ways: go test -bench ViewHolder -cpu 8.
 func BenchmarkBoard(b *testing.B) {
 	views := [2]*View{{Number: 1}, {Number: 2}}
-	var board Board
+	var board ViewHolder
 	var mu sync.Mutex
 	var rw sync.RWMutex
 	var m sync.Map
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -54,7 +54,7 @@
 	calm           bool // is no safeguard: jitter is 0, for the search
 }
 
-// Part is the leases of one process: as an elector of things and as a claimant of some. It implements fleet.Part and Lessor.
+// Part is the leases of one process: as an elector of things and as a claimant of some. It implements fleet.Module and Lessor.
 // It is not safe for concurrent use.
 type Part struct {
 	cfg    Config
@@ -94,8 +94,8 @@
 }
 
 var (
-	_ fleet.Part = (*Part)(nil)
-	_ Lessor     = (*Part)(nil)
+	_ fleet.Module = (*Part)(nil)
+	_ Lessor       = (*Part)(nil)
 )
 
 // New makes a part that knows nothing of earlier lives.
--- a/internal/member/fail.go
+++ b/internal/member/fail.go
@@ -8,7 +8,7 @@
 	"pewterwheel/internal/lease"
 )
 
-func (*together) failParts() []fleet.Part { return nil }
+func (*together) failParts() []fleet.Module { return nil }
 
 func doctored(c lease.Config) lease.Config { return c }
 
--- a/internal/member/fail_on.go
+++ b/internal/member/fail_on.go
@@ -16,11 +16,11 @@
 
 // failParts are parts that only tests have: one that notes who is seen, and one that claims and acts, if it is told to.
 // With the failpoint die=DURATION the process dies so long after its parts were made.
-func (t *together) failParts() []fleet.Part {
+func (t *together) failParts() []fleet.Module {
 	if d, err := time.ParseDuration(failpoint.Value("die")); err == nil {
 		time.AfterFunc(d, func() { _ = syscall.Kill(os.Getpid(), syscall.SIGKILL) })
 	}
-	return append([]fleet.Part{agent.NewWatcher()}, agent.NewClaimer(t.lessor)...)
+	return append([]fleet.Module{agent.NewWatcher()}, agent.NewClaimer(t.lessor)...)
 }
 
 // doctored is a lease's configuration as failpoints want it.
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -83,7 +83,7 @@
 	log    *slog.Logger
 	base   config.Sidecar // as at the start
 	member config.Member
-	board  fleet.Board
+	views  fleet.ViewHolder
 	clock  func() int64 // of the loop of calls and of the parts: what crosses between them holds times
 	wall   int64        // for the number of this life; it may be wrong
 	table  *keeper.Table
@@ -217,7 +217,7 @@
 	}
 	digest, _ := t.reader.Going()
 	a := agent.New(agent.Config{Self: t.member.Name, Zone: t.member.Zone, Program: Version(), Settings: digest, Roster: t.base.Fleet.RosterNumber,
-		Net: net, Board: &t.board, Make: t.make, First: map[fleet.Kind][]byte{fleet.Stage: stage.First(t.running, t.concluded)}, Wake: t.wakes(), Do: t.do, Log: t.log, Clock: t.clock, Wall: func() int64 { return t.wall }, Window: t.window})
+		Net: net, Views: &t.views, Make: t.make, First: map[fleet.Kind][]byte{fleet.Stage: stage.First(t.running, t.concluded)}, Wake: t.wakes(), Do: t.do, Log: t.log, Clock: t.clock, Wall: func() int64 { return t.wall }, Window: t.window})
 	ran := make(chan struct{})
 	go func() { a.Run(); close(ran) }()
 	t.mu.Lock()
--- a/internal/member/parts.go
+++ b/internal/member/parts.go
@@ -25,7 +25,7 @@
 const queueRoom = 4096
 
 // make makes the parts of this process for a life, knowing nothing. Those that need a lease hold the lessor.
-func (t *together) make(life uint64) []fleet.Part {
+func (t *together) make(life uint64) []fleet.Module {
 	t.mu.Lock()
 	s, running, concluded := t.last, t.running, t.concluded
 	t.mu.Unlock()
@@ -36,7 +36,7 @@
 	t.lessor = lease.New(doctored(lease.Config{Self: t.member.Name, Incarnation: life, Seed: life, Roster: f.RosterNumber, Names: f.Roster,
 		Lease: f.Lease, Drift: f.Drift, Floor: life / 1000, Renewals: failpoint.Enabled}))
 	t.stage = stage.New(stage.Config{Name: t.member.Name, Zone: t.member.Zone, Lease: t.lessor, Running: running, Concluded: concluded, Rules: stageRules()})
-	parts := []fleet.Part{t.lessor, t.stage}
+	parts := []fleet.Module{t.lessor, t.stage}
 	if t.table != nil {
 		cfg := t.keepers(life, t.lessor)
 		cfg.Barred = t.stage.Soon
--- a/internal/pooling/part.go
+++ b/internal/pooling/part.go
@@ -161,7 +161,7 @@
 	heard, sent, garbled, refused, full, witnesses, falls, raises uint64
 }
 
-var _ fleet.Part = (*Part)(nil)
+var _ fleet.Module = (*Part)(nil)
 
 // New returns a Part; the error is a *ConfigError.
 func New(cfg Config) (*Part, error) {
@@ -187,18 +187,18 @@
 		peers: map[string]*peer{}, mourned: map[string]int64{}}, nil
 }
 
-// Kind implements fleet.Part.
+// Kind implements fleet.Module.
 func (p *Part) Kind() fleet.Kind { return fleet.Pooling }
 
-// Start implements fleet.Part.
+// Start implements fleet.Module.
 func (p *Part) Start(now int64, _ *fleet.Out) {
 	p.started, p.ticked, p.next = now, now, now+tick
 }
 
-// Done implements fleet.Part; the part asks for no acts.
+// Done implements fleet.Module; the part asks for no acts.
 func (p *Part) Done(int64, fleet.Act, error, *fleet.Out) {}
 
-// Next implements fleet.Part.
+// Next implements fleet.Module.
 func (p *Part) Next() int64 { return p.next }
 
 // complains hands an error on, one of a kind a minute.
@@ -209,7 +209,7 @@
 	}
 }
 
-// View implements fleet.Part.
+// View implements fleet.Module.
 func (p *Part) View(now int64, v *fleet.View, out *fleet.Out) {
 	for _, q := range p.names {
 		q.here = false
@@ -314,7 +314,7 @@
 	}
 }
 
-// Tick implements fleet.Part.
+// Tick implements fleet.Module.
 func (p *Part) Tick(now int64, out *fleet.Out) {
 	if gap := now - p.ticked; gap >= stood {
 		// Guards against a process that was stopped and wakes: what it knew is old, and a witness may have come since.
@@ -816,7 +816,7 @@
 	c.all[t.counted] -= min(over, c.all[t.counted])
 }
 
-// Message implements fleet.Part.
+// Message implements fleet.Module.
 func (p *Part) Message(now int64, m fleet.Message, out *fleet.Out) {
 	p.heard++
 	s, err := hear(m.From, m.Body)
@@ -1067,7 +1067,7 @@
 	out.Tell(fleet.Pooling, body)
 }
 
-// Figures implements fleet.Part.
+// Figures implements fleet.Module.
 func (p *Part) Figures(put func(name string, n uint64, gauge bool)) {
 	var by [ByMessage + 1]uint64
 	denied := uint64(0)
--- a/internal/stage/part.go
+++ b/internal/stage/part.go
@@ -9,7 +9,7 @@
 )
 
 // Part is the staged change in one process: what the process itself does about a change and, while it holds the lease, the
-// conductor of it. It implements fleet.Part.
+// conductor of it. It implements fleet.Module.
 type Part struct {
 	c       Config
 	watch   watch
@@ -37,7 +37,7 @@
 
 type counts struct{ orders, refused, changes, backs, halts, concluded, errors uint64 }
 
-var _ fleet.Part = (*Part)(nil)
+var _ fleet.Module = (*Part)(nil)
 
 // every is how often a part looks at its lease, its orders and its slots.
 const every = second / 5
