Count datagrams, streams and the bytes of streams in the membership's figures

fleet_bytes_in and fleet_bytes_out see datagrams alone; what exchanges of all entries cost was not to be seen. Connections that the transport dials or takes in now count what is read and written: fleet_stream_bytes_in and _out, with fleet_streams_in and _out for their number and fleet_datagrams_in and _out beside the bytes, so that the cost of headers can be told too.

--- a/internal/fleetnet/net.go
+++ b/internal/fleetnet/net.go
@@ -176,6 +176,7 @@
 // counts are what came, went and was passed by.
 type counts struct {
 	sent, unsent, received, entries, spread, foreign, garbage, misled, dropped, complaints, twice, bytesOut, bytesIn atomic.Uint64
+	datagramsOut, datagramsIn, streamsOut, streamsIn, streamBytesOut, streamBytesIn                                  atomic.Uint64
 }
 
 type member struct {
@@ -336,7 +337,9 @@
 		n    *atomic.Uint64
 	}{{"fleet_messages_out", &c.sent}, {"fleet_messages_unsent", &c.unsent}, {"fleet_messages_in", &c.received}, {"fleet_messages_misled", &c.misled},
 		{"fleet_entries_heard", &c.entries}, {"fleet_entries_spread", &c.spread}, {"fleet_foreign", &c.foreign}, {"fleet_garbage", &c.garbage},
-		{"fleet_events_dropped", &c.dropped}, {"fleet_net_complaints", &c.complaints}, {"fleet_bytes_out", &c.bytesOut}, {"fleet_bytes_in", &c.bytesIn}} {
+		{"fleet_events_dropped", &c.dropped}, {"fleet_net_complaints", &c.complaints}, {"fleet_bytes_out", &c.bytesOut}, {"fleet_bytes_in", &c.bytesIn},
+		{"fleet_datagrams_out", &c.datagramsOut}, {"fleet_datagrams_in", &c.datagramsIn}, {"fleet_streams_out", &c.streamsOut}, {"fleet_streams_in", &c.streamsIn},
+		{"fleet_stream_bytes_out", &c.streamBytesOut}, {"fleet_stream_bytes_in", &c.streamBytesIn}} {
 		put(f.name, f.n.Load(), false)
 	}
 }
--- a/internal/fleetnet/net_test.go
+++ b/internal/fleetnet/net_test.go
@@ -331,3 +331,58 @@
 	}
 	t.Logf("%d bytes in %s; the bound with the usual times is %d a second", sum, time.Since(begin), BytesASecond)
 }
+
+// What passes is counted byte for byte: datagrams and streams apart, whatever becomes of it.
+func TestBytesAreCounted(t *testing.T) {
+	at := free(t)
+	alone := open(t, Config{Cluster: "one", Self: "a", Bind: at, Reach: at})
+	datagrams, err := net.Dial("udp4", at.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = datagrams.Close() }()
+	for _, size := range []int{1, 100, 1400} {
+		if _, err := datagrams.Write(bytes.Repeat([]byte{'x'}, size)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	until(t, "three datagrams of 1,501 bytes", func() bool {
+		return figure(alone, "fleet_datagrams_in") == 3 && figure(alone, "fleet_bytes_in") == 1501
+	})
+	foreign, err := memberlist.AddLabelHeaderToPacket(nil, "another")
+	if err != nil {
+		t.Fatal(err)
+	}
+	stream, err := net.Dial("tcp4", at.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = stream.Close() }()
+	if _, err := stream.Write(foreign); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "one stream with a label alone", func() bool {
+		return figure(alone, "fleet_streams_in") == 1 && figure(alone, "fleet_stream_bytes_in") == uint64(len(foreign))
+	})
+	for _, name := range []string{"fleet_datagrams_out", "fleet_bytes_out", "fleet_streams_out", "fleet_stream_bytes_out"} {
+		if n := figure(alone, name); n != 0 {
+			t.Errorf("%s is %d where nothing was sent", name, n)
+		}
+	}
+}
+
+// The bytes that one of two members wrote into streams are those that the other one read.
+func TestStreamsAreCountedAtBothEnds(t *testing.T) {
+	atA, atB := free(t), free(t)
+	a := open(t, Config{Cluster: "one", Self: "a", Bind: atA, Reach: atA, Names: map[string]netip.AddrPort{"b": atB}})
+	a.Spread("a", bytes.Repeat([]byte{8}, fleet.MaxEntry))
+	b := open(t, Config{Cluster: "one", Self: "b", Bind: atB, Reach: atB, Names: map[string]netip.AddrPort{"a": atA}})
+	until(t, "an exchange of all, counted alike", func() bool {
+		out, in := figure(a, "fleet_stream_bytes_out"), figure(b, "fleet_stream_bytes_in")
+		back, answer := figure(b, "fleet_stream_bytes_out"), figure(a, "fleet_stream_bytes_in")
+		return out >= fleet.MaxEntry && out == in && back > 0 && back == answer
+	})
+	until(t, "as many streams at both ends", func() bool {
+		return figure(a, "fleet_streams_out") == figure(b, "fleet_streams_in") && figure(b, "fleet_streams_out") == figure(a, "fleet_streams_in")
+	})
+}
--- a/internal/fleetnet/transport.go
+++ b/internal/fleetnet/transport.go
@@ -125,6 +125,7 @@
 		return time.Time{}, err
 	}
 	t.counts.bytesOut.Add(uint64(len(b)))
+	t.counts.datagramsOut.Add(1)
 	return t.NetTransport.WriteToAddress(b, to)
 }
 
@@ -134,7 +135,32 @@
 	if err != nil {
 		return nil, err
 	}
-	return t.NetTransport.DialAddressTimeout(to, timeout)
+	conn, err := t.NetTransport.DialAddressTimeout(to, timeout)
+	if err != nil {
+		return nil, err
+	}
+	t.counts.streamsOut.Add(1)
+	return countedConn{conn, t.counts}, nil
+}
+
+// countedConn counts the bytes of a connection as they are read and written.
+type countedConn struct {
+	net.Conn
+	counts *counts
+}
+
+// Read reads and counts.
+func (c countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.counts.streamBytesIn.Add(uint64(n))
+	return n, err
+}
+
+// Write writes and counts.
+func (c countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.counts.streamBytesOut.Add(uint64(n))
+	return n, err
 }
 
 // PacketCh brings what came by UDP, without its label.
@@ -150,6 +176,7 @@
 			return
 		case p := <-t.NetTransport.PacketCh():
 			t.counts.bytesIn.Add(uint64(len(p.Buf)))
+			t.counts.datagramsIn.Add(1)
 			b, label, err := memberlist.RemoveLabelHeaderFromPacket(p.Buf)
 			switch {
 			case err != nil || len(b) == 0:
@@ -174,7 +201,9 @@
 		select {
 		case <-t.done:
 			return
-		case conn := <-t.NetTransport.StreamCh():
+		case raw := <-t.NetTransport.StreamCh():
+			t.counts.streamsIn.Add(1)
+			conn := countedConn{raw, t.counts}
 			select {
 			case t.slots <- struct{}{}:
 				t.mu.Lock()
