Spread heads of entries on change alone, by a gossip within a budget of bytes

Need: entries with their windows spread to all each second; hardly anyone reads the figures, and the traffic is over the budget from two dozen members on. Change: entries spread without windows, when something in them changes and at a slow heartbeat; what changes often passes as an update of some 40 bytes on top of its entry; a digest of all entries comes with each answer to a probe, and what differs is repaired; exchanges of all entries are for those who join. While a member of the version before is heard, whole entries spread with windows as it expects. The budget counts both directions and transports; membership and leases always pass.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -21,6 +21,7 @@
 	"golang.org/x/sys/unix"
 
 	"pewterwheel/internal/advice"
+	"pewterwheel/internal/dissemination"
 	"pewterwheel/internal/failpoint"
 	"pewterwheel/internal/fleet"
 	"pewterwheel/internal/fleetnet"
@@ -55,12 +56,16 @@
 }
 
 const (
-	usualLength = 1_000_000
-	// settleIn is how long parts are not made after the start.
-	settleIn   = 1_000_000
-	usualQueue = 1024
-	// soonest is the time between two of the own entry, and of two views, at least: parts may tell at every message.
-	soonest = 50_000
+	defaultLength = 1_000_000
+	// startDelay is how long parts are not made after the start.
+	startDelay   = 1_000_000
+	defaultQueue = 1024
+	// minInterval is the time between two of the own entry, and of two views, at least: modules may tell at every message.
+	minInterval = 50_000
+	// judgeInterval is how often it is looked who is suspected, where nothing new has come.
+	judgeInterval = 500_000
+	// warnInterval is the time between two lines of the log about one thing that goes on.
+	warnInterval = 60_000_000
 	// acts that run or wait at once; more are refused with an *ActError.
 	maxActs = 16
 	// maxLocal bounds what parts of one process tell each other within one round. Guards against two that never end.
@@ -133,12 +138,14 @@
 	windows []fleet.Window
 	cpu     int64
 	metrics *metrics
-	make    int64   // when parts are to be made; 0: they are
-	failed  []ended // acts that were not begun; told in the next round
-	dirty   bool    // the own entry has to be written
-	told    int64   // when it was last written
-	seen    int64   // when views were last looked at
-	twice   int64   // when a name that is used twice was last logged
+	make    int64                // when parts are to be made; 0: they are
+	failed  []ended              // acts that were not begun; told in the next round
+	pending []func(*fleet.Entry) // changes of the own entry that are not told yet
+	told    int64                // when the own entry was last told
+	root    uint64               // digest of the registry that the net answers probes with
+	repair  *dissemination.Repair
+	seen    int64 // when views were last looked at
+	twice   int64 // when a name that is used twice was last logged
 
 	dropped, refused, notes, viewsMade atomic.Uint64
 }
@@ -155,10 +162,10 @@
 		cfg.Wall = func() int64 { return time.Now().UnixMicro() }
 	}
 	if cfg.Length == 0 {
-		cfg.Length = usualLength
+		cfg.Length = defaultLength
 	}
 	if cfg.Queue == 0 {
-		cfg.Queue = usualQueue
+		cfg.Queue = defaultQueue
 	}
 	if cfg.Views == nil {
 		cfg.Views = &fleet.ViewHolder{}
@@ -171,8 +178,11 @@
 	}
 	a := &Agent{cfg: cfg, views: cfg.Views, log: cfg.Log, posted: make(chan func(int64, *fleet.Out), cfg.Queue),
 		acts: make(chan ended, maxActs), states: make(chan fleet.State, 8), stop: make(chan struct{}), over: make(chan struct{}), slots: make(chan struct{}, maxActs), metrics: newMetrics()}
-	a.registry = fleet.NewRegistry(fleet.Entry{Name: cfg.Self, Incarnation: uint64(max(1, cfg.Wall())), Zone: cfg.Zone, Program: cfg.Program,
-		Settings: cfg.Settings, Roster: cfg.Roster, State: fleet.Starting, Parts: cfg.First})
+	life := uint64(max(1, cfg.Wall()))
+	a.registry = fleet.NewRegistry(fleet.Entry{Name: cfg.Self, Incarnation: life, Zone: cfg.Zone, Program: cfg.Program,
+		Settings: cfg.Settings, Roster: cfg.Roster, Protocol: fleet.ProtocolHeads, State: fleet.Starting, Parts: cfg.First})
+	a.registry.Heads = true
+	a.repair = dissemination.NewRepair(dissemination.RepairConfig{Self: cfg.Self, Seed: life}, a.registry)
 	a.registry.Stale, a.registry.Absent = cfg.Stale, cfg.Absent
 	if failpoint.On("gone-is-left") {
 		a.registry.Absent = 1
@@ -209,8 +219,7 @@
 // Goes says by which settings and roster the process goes from now on.
 func (a *Agent) Goes(settings, roster uint64) bool {
 	return a.Post(func(int64, *fleet.Out) {
-		a.registry.Write(func(e *fleet.Entry) { e.Settings, e.Roster = settings, roster })
-		a.dirty = true
+		a.pending = append(a.pending, func(e *fleet.Entry) { e.Settings, e.Roster = settings, roster })
 	})
 }
 
@@ -225,10 +234,10 @@
 func (a *Agent) Run() {
 	defer close(a.over)
 	a.now = a.cfg.Clock()
-	a.begun, a.told, a.seen = a.now, a.now-soonest, a.now-soonest
+	a.begun, a.told, a.seen = a.now, a.now-minInterval, a.now-minInterval
 	a.cpu = processor()
-	a.cfg.Net.Spread(a.cfg.Self, a.registry.Write(func(*fleet.Entry) {}))
-	a.make = a.now + settleIn
+	a.cfg.Net.Spread(a.cfg.Self, fleet.Coded{Entry: a.registry.Write(func(*fleet.Entry) {})})
+	a.make = a.now + startDelay
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	events := a.cfg.Net.Events()
@@ -284,10 +293,19 @@
 	for _, p := range a.parts {
 		at = min(at, p.Next())
 	}
-	if a.dirty {
-		at = min(at, a.told+soonest)
+	at = min(at, a.tellAt())
+	if a.registry.Changed() {
+		return min(at, a.seen+minInterval)
 	}
-	return min(at, a.seen+soonest)
+	return min(at, a.seen+judgeInterval)
+}
+
+// tellAt is when the own entry is told: soon after a change, else at its heartbeat.
+func (a *Agent) tellAt() int64 {
+	if len(a.pending) > 0 {
+		return a.told + minInterval
+	}
+	return a.told + fleet.DefaultHeartbeat*a.registry.IntervalFactor()
 }
 
 // settle does what has come due: parts' ticks, the window, the own entry, the view.
@@ -310,22 +328,46 @@
 	if a.now-a.begun >= a.length() {
 		a.window()
 	}
-	if a.dirty && a.now-a.told >= soonest {
+	if a.now >= a.tellAt() {
 		a.tell()
 	}
-	if a.now-a.seen >= soonest {
-		a.seen = a.now
-		if v := a.registry.View(a.now); v != nil {
-			a.viewsMade.Add(1)
-			a.views.Post(v)
-			for _, p := range a.parts {
-				p.View(a.now, v, &a.out)
-				a.carry()
-			}
-		}
+	if a.now-a.seen >= minInterval {
+		a.look()
+	}
+	if root, _ := a.registry.Digest(); root != a.root {
+		a.root = root
+		a.cfg.Net.Root(root)
 	}
 }
 
+// look makes a view, if anything has changed, and shows it to all modules.
+func (a *Agent) look() {
+	a.seen = a.now
+	v := a.registry.View(a.now)
+	if v == nil {
+		return
+	}
+	a.viewsMade.Add(1)
+	a.views.Post(v)
+	a.speak(a.registry.Older() > 0)
+	for _, p := range a.parts {
+		p.View(a.now, v, &a.out)
+		a.carry()
+	}
+}
+
+// speak goes by what those who are heard can read: while one of them reads whole entries alone, windows stand in the own
+// entry, which is told with each of them.
+func (a *Agent) speak(older bool) {
+	if a.registry.Heads != older {
+		return
+	}
+	a.registry.Heads = !older
+	a.cfg.Net.Older(older)
+	a.log.Info("members of the version before are heard", "older", a.registry.Older())
+	a.tell()
+}
+
 // begin makes the parts for this life and starts them.
 func (a *Agent) begin() {
 	if a.cfg.Make == nil {
@@ -356,17 +398,19 @@
 			return
 		}
 		name, spread, err := a.registry.Take(a.now, e.Bytes)
-		if err != nil && (a.twice == 0 || a.now-a.twice > 60_000_000) {
-			a.twice = a.now
-			a.log.Warn("entry passed by", "error", err, advice.Attr(err))
+		a.passedBy(err)
+		if spread != nil {
+			a.passOn(name, fleet.Coded{Entry: spread})
 		}
+	case fleetnet.Update:
+		name, spread, err := a.registry.TakeUpdate(a.now, e.Bytes)
+		a.passedBy(err)
 		if spread != nil {
-			a.cfg.Net.Spread(name, spread)
-			if name == a.cfg.Self && a.make == 0 { // a higher life: the parts' messages were those of a lower one
-				a.log.Info("a later life under this name is taken", "life", a.registry.Own().Incarnation)
-				a.begin()
-			}
+			a.passOn(name, *spread)
 		}
+	case fleetnet.Root:
+		a.repair.Root(a.now, e.Name, e.Digest, &a.out)
+		a.carry()
 	case fleetnet.Up:
 		a.registry.Up(a.now, e.Name)
 	case fleetnet.Gone:
@@ -374,7 +418,29 @@
 	}
 }
 
+// passedBy logs, now and then, an entry or an update that was passed by.
+func (a *Agent) passedBy(err error) {
+	if err == nil || a.twice != 0 && a.now-a.twice <= warnInterval {
+		return
+	}
+	a.twice = a.now
+	a.log.Warn("entry passed by", "error", err, advice.Attr(err))
+}
+
+// passOn spreads what was news. Where it is of this process itself, that had to take a higher incarnation.
+func (a *Agent) passOn(name string, newest fleet.Coded) {
+	a.cfg.Net.Spread(name, newest)
+	if name == a.cfg.Self && a.make == 0 { // the modules' messages were those of a lower one
+		a.log.Info("a later life under this name is taken", "life", a.registry.Own().Incarnation)
+		a.begin()
+	}
+}
+
 func (a *Agent) deliver(m fleet.Message) {
+	if m.Kind == fleet.Repair {
+		a.repair.Message(a.now, m, &a.out)
+		return
+	}
 	for _, p := range a.parts {
 		if p.Kind() == m.Kind {
 			p.Message(a.now, m, &a.out)
@@ -401,8 +467,8 @@
 	if a.registry.Own().State >= s {
 		return // lives do not run backwards
 	}
-	a.cfg.Net.Spread(a.cfg.Self, a.registry.Write(func(e *fleet.Entry) { e.State = s }))
-	a.told = a.now
+	a.pending = append(a.pending, func(e *fleet.Entry) { e.State = s })
+	a.tell()
 	a.log.Info("fleet", "self", a.cfg.Self, "state", uint8(s))
 }
 
@@ -430,6 +496,12 @@
 		for _, act := range out.Acts {
 			a.act(act)
 		}
+		for _, heard := range out.Heard {
+			a.registry.AddWindow(heard)
+		}
+		for _, p := range out.Pass {
+			a.pass(p)
+		}
 		if len(a.local) == 0 {
 			return
 		}
@@ -444,19 +516,29 @@
 	a.local, a.out = nil, fleet.Out{} // else the next round would go on with it
 }
 
+// pass sends one process what is known of another.
+func (a *Agent) pass(p fleet.PassedEntry) {
+	known, ok := a.registry.Coded(p.Name)
+	if !ok {
+		return
+	}
+	if err := a.cfg.Net.Pass(p.To, known); err != nil {
+		a.log.Debug("message not sent", "to", p.To, "kind", fleet.Repair, "error", err, advice.Attr(err))
+	}
+}
+
 // keep puts a part's own contents into the process's entry, to be told soon.
 func (a *Agent) keep(k fleet.Kind, body []byte) {
 	if len(body) > fleet.MaxBody {
 		a.refused.Add(1)
 		return
 	}
-	a.registry.Write(func(e *fleet.Entry) {
+	a.pending = append(a.pending, func(e *fleet.Entry) {
 		if e.Parts == nil {
 			e.Parts = map[fleet.Kind][]byte{}
 		}
 		e.Parts[k] = body
 	})
-	a.dirty = true
 }
 
 // act starts an act on a goroutine of its own. Its end comes back through a channel with room for all that run.
@@ -484,7 +566,8 @@
 		"self", a.cfg.Self, "mono", mono)
 }
 
-// window ends a window of figures and tells it.
+// window ends a window of figures. The modules that pass it to who asks are given it; it stands in the own entry as others
+// are told it only while some of them read whole entries alone.
 func (a *Agent) window() {
 	w := fleet.Window{}
 	if a.cfg.Window != nil {
@@ -496,12 +579,31 @@
 	if a.windows = append(a.windows, w); len(a.windows) > fleet.MaxWindows {
 		a.windows = slices.Clone(a.windows[1:])
 	}
-	a.tell()
+	a.registry.SetWindows(a.windows)
+	for _, p := range a.parts {
+		if taker, ok := p.(windowTaker); ok {
+			taker.Window(a.now, w, &a.out)
+			a.carry()
+		}
+	}
+	if !a.registry.Heads {
+		a.tell()
+	}
 	a.snapshot()
 }
 
-// length is that of a window: longer where there are many processes.
-func (a *Agent) length() int64 { return a.cfg.Length * a.registry.IntervalFactor() }
+// windowTaker is a module that is given the process's own windows.
+type windowTaker interface {
+	Window(now int64, w fleet.Window, out *fleet.Out)
+}
+
+// length is that of a window: longer in a large fleet where windows spread to all.
+func (a *Agent) length() int64 {
+	if a.registry.Heads {
+		return a.cfg.Length
+	}
+	return a.cfg.Length * a.registry.IntervalFactor()
+}
 
 func (a *Agent) number() uint64 {
 	if n := len(a.windows); n > 0 {
@@ -510,10 +612,15 @@
 	return 1
 }
 
-// tell writes the own entry anew and spreads it.
+// tell makes the changes of the own entry that wait, and spreads it.
 func (a *Agent) tell() {
-	a.dirty, a.told = false, a.now
-	a.cfg.Net.Spread(a.cfg.Self, a.registry.Write(func(e *fleet.Entry) { e.Windows = a.windows }))
+	changes := a.pending
+	a.pending, a.told = nil, a.now
+	a.cfg.Net.Spread(a.cfg.Self, a.registry.Change(func(e *fleet.Entry) {
+		for _, change := range changes {
+			change(e)
+		}
+	}))
 }
 
 // leave says that this process goes, and ends.
@@ -559,11 +666,16 @@
 	put("fleet_entries_full", c.Full, false)
 	put("fleet_entries_over", c.Over, false)
 	put("fleet_lives_raised", c.Raised, false)
+	put("fleet_updates", c.Updates, false)
+	put("fleet_update_gaps", c.Gaps, false)
+	put("fleet_windows_heard", c.Windows, false)
+	put("fleet_older_members", uint64(a.registry.Older()), true)
 	put("fleet_views", a.viewsMade.Load(), false)
 	put("fleet_notes", a.notes.Load(), false)
 	put("fleet_posts_dropped", a.dropped.Load(), false)
 	put("fleet_refused", a.refused.Load(), false)
 	a.cfg.Net.Figures(put)
+	a.repair.Figures(put)
 	for _, p := range a.parts {
 		p.Figures(put)
 	}
--- a/internal/fleet/coding.go
+++ b/internal/fleet/coding.go
@@ -61,6 +61,9 @@
 	entryKeys = keyParts
 )
 
+// keyProtocol is of the second version of an entry; 11 stands for an unknown field in the corpus of the first.
+const keyProtocol = 12
+
 const (
 	keyNumber = iota + 1
 	keyLength
@@ -195,6 +198,7 @@
 	f.put(keyZone, e.Zone, e.Zone == "")
 	f.put(keyState, uint64(e.State), e.State == 0)
 	f.put(keyRoster, e.Roster, e.Roster == 0)
+	f.put(keyProtocol, e.Protocol, e.Protocol == 0)
 	var ws []cbor.RawMessage
 	for i := range windows {
 		ws = append(ws, windows[i].encode(classes, waits))
@@ -273,6 +277,10 @@
 			return bad("field %d: %v", key, err)
 		}
 	}
+	if err := f.get(keyProtocol, &e.Protocol); err != nil {
+		return bad("field %d: %v", keyProtocol, err)
+	}
+	delete(f, keyProtocol)
 	var err error
 	if e.rest, err = f.rest(entryKeys); err != nil {
 		return bad("%v", err)
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -11,6 +11,14 @@
 	Leaving
 )
 
+// What a process speaks, as its entry says. Numbers are never given anew.
+const (
+	// ProtocolWindows writes its windows into its entry, which spreads to all with each of them.
+	ProtocolWindows = 0
+	// ProtocolHeads spreads its entry on change alone, without windows, reads Updates, and sends windows to who asks for them.
+	ProtocolHeads = 2
+)
+
 // Entry is what one process tells of itself. Nobody else writes it.
 type Entry struct {
 	Name        string
@@ -21,6 +29,7 @@
 	Zone        string
 	State       State
 	Roster      uint64          // number of the roster it knows
+	Protocol    uint64          // what its writer speaks: ProtocolWindows, ProtocolHeads or later
 	Windows     []Window        // the newest last; MaxWindows at the most
 	Parts       map[Kind][]byte // what the modules keep in it; MaxBody each
 
--- a/internal/fleetnet/corpus_test.go
+++ b/internal/fleetnet/corpus_test.go
@@ -15,6 +15,7 @@
 	for name, e := range map[string]envelope{
 		"envelope-message": {Kind: uint8(fleet.Keeper), From: "sidecar-1", To: "sidecar-2", Body: bytes.Repeat([]byte{0xa1}, fleet.MaxBody)},
 		"envelope-entry":   {Entry: []byte{0xa1, 0x01, 0x61, 'a'}},
+		"envelope-entries": {Entries: [][]byte{{0xa1, 0x01, 0x61, 'a'}, {0xa1, 0x01, 0x61, 'b'}}, Updates: [][]byte{{0xa1, 0x01, 0x61, 'c'}}},
 	} {
 		b, err := encode.Marshal(e)
 		if err != nil {
--- a/internal/fleetnet/net.go
+++ b/internal/fleetnet/net.go
@@ -4,11 +4,8 @@
 package fleetnet
 
 import (
-	"fmt"
 	"log/slog"
-	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,8 +13,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/memberlist"
 
-	"pewterwheel/internal/advice"
-	"pewterwheel/internal/failpoint"
+	"pewterwheel/internal/dissemination"
 	"pewterwheel/internal/fleet"
 )
 
@@ -27,8 +23,17 @@
 	// Send hands a message to the process it is for. It may be lost, doubled, late and out of order. The error says only
 	// that it was not sent.
 	Send(m fleet.Message) error
-	// Spread passes a process's coded entry on to all, in place of an earlier one of that name.
-	Spread(name string, entry []byte)
+	// Spread passes the newest of a process on to all, in place of what was passed on of that name before.
+	Spread(name string, newest fleet.Coded)
+	// Pass sends what is known of a process to one other. The error says only that it was not sent.
+	Pass(to string, known fleet.Coded) error
+	// Root says by which digest of all entries the probes of others are answered from now on. One that differs comes as Root.
+	Root(root uint64)
+	// Older says whether members are heard that read whole entries alone. While there are, nothing else is spread, and the
+	// budget holds nothing back.
+	Older(heard bool)
+	// Allow tells whether so many bytes of a class may be sent now. It spends nothing.
+	Allow(class dissemination.Class, bytes int) bool
 	// Forget drops a process's entry: it is passed on no more.
 	Forget(name string)
 	// Events brings what came in. It is closed by Close.
@@ -54,14 +59,17 @@
 	Entry                        // Bytes: a coded entry, unread; at most fleet.MaxEntry bytes
 	Up                           // the membership sees Name
 	Gone                         // it no longer sees Name: cut off, stopped, ended or gone by its own word
+	Update                       // Bytes: a coded update of an entry, unread; at most fleet.MaxUpdate bytes
+	Root                         // Name has another digest of all entries than this process: Digest
 )
 
 // Event is one thing that came in. What it holds is the receiver's.
 type Event struct {
-	Kind  EventKind
-	Name  string
-	Msg   fleet.Message
-	Bytes []byte
+	Kind   EventKind
+	Name   string
+	Msg    fleet.Message
+	Bytes  []byte
+	Digest uint64
 }
 
 // Config is what a Net is made from.
@@ -78,6 +86,8 @@
 	// Microseconds; 0: the usual. A process is reported gone after Suspicion probes without an answer, twice that at most.
 	Probe, ProbeTimeout, Gossip, PushPull, Rejoin int64
 	Suspicion                                     int // 0: 4
+	// Budget bounds the bytes of control traffic, in and out together; its zero value: the usual.
+	Budget dissemination.BudgetConfig
 }
 
 // The usual times, in microseconds: for machines of one site.
@@ -85,17 +95,19 @@
 	usualProbe        = 300_000
 	usualProbeTimeout = 200_000
 	usualGossip       = 150_000
-	usualPushPull     = 10_000_000
+	usualPushPull     = 60_000_000
 	usualRejoin       = 1_000_000
 )
 
 const (
-	// datagram holds the largest entry and memberlist's own words around it. Usual entries are under 1,400 bytes; a larger
-	// one goes in two or more fragments of Ethernet's.
+	// datagram holds the largest entry, the largest update and what is around them.
 	datagram = fleet.MaxEntry + 1024
-	// gossipNodes times datagram a gossip bounds the bytes a second that spread: 144 KiB with the usual times. Beside it
-	// there are the messages, and one exchange of all entries each PushPull.
+	// frame is what a datagram of gossip has where no single entry needs more: one Ethernet frame, with the headers.
+	frame = 1400
+	// gossipNodes is how many others are told in each gossip, by memberlist of the membership and by this package of entries.
 	gossipNodes = 3
+	// membershipMultiplier times log10 of the members is how often memberlist repeats what it spreads.
+	membershipMultiplier = 2
 	// maxStreams bounds the connections that are taken in at once, and streamWithin how long one may take to say whose it is.
 	maxStreams   = 64
 	streamWithin = time.Second
@@ -107,76 +119,21 @@
 	maxState = fleet.MaxMembers
 )
 
-// BytesASecond is the most that spreads from one process with the usual times, beside messages and exchanges of all.
-const BytesASecond = gossipNodes * datagram * 1_000_000 / usualGossip
-
-// UnknownMemberError is a process of which nobody has said where it is reached.
-type UnknownMemberError struct{ Name string }
-
-func (e *UnknownMemberError) Error() string {
-	return fmt.Sprintf("fleetnet: nobody has told where %s is reached", e.Name)
-}
-
-// Advice says what an operator can do.
-func (e *UnknownMemberError) Advice() string {
-	return "Give it a [member] section in the site file, write the sidecars' files anew and reload them."
-}
-
-// BindError is an address that could not be listened on.
-type BindError struct {
-	Address netip.AddrPort
-	Err     error
-}
-
-func (e *BindError) Error() string {
-	return fmt.Sprintf("fleetnet: cannot listen on %s: %v", e.Address, e.Err)
-}
-func (e *BindError) Unwrap() error { return e.Err }
-
-// Advice says what an operator can do.
-func (e *BindError) Advice() string {
-	return "See which process listens there (ss -lnptu); if it is this one's predecessor, wait for its end, else change bind or address of the member."
-}
-
-// SizeError is a message over fleet.MaxBody, or with a name over fleet.MaxName.
-type SizeError struct{ Size int }
-
-func (e *SizeError) Error() string {
-	return fmt.Sprintf("fleetnet: a message of %d bytes; %d are the most", e.Size, fleet.MaxBody)
-}
-
-// Advice says what an operator can do.
-func (e *SizeError) Advice() string {
-	return "Report it: it is a fault of the program, no setting mends it."
-}
-
-// ConfigError is a configuration that the membership refuses.
-type ConfigError struct{ Err error }
-
-func (e *ConfigError) Error() string { return "fleetnet: " + e.Err.Error() }
-func (e *ConfigError) Unwrap() error { return e.Err }
-
-// Advice says what an operator can do.
-func (e *ConfigError) Advice() string {
-	return "Check [fleet] and [member] of the site file with config check; the rest of the line says what was refused."
-}
-
-// Errors are all errors of this package, for the operators' page.
-var Errors = []advice.Advised{&UnknownMemberError{}, &BindError{}, &SizeError{}, &ConfigError{}}
-
-// envelope is what a datagram of ours holds: a message, or an entry.
+// envelope is what a datagram of ours holds: a message, or entries and updates. Entry alone is read by the older version.
 type envelope struct {
-	Kind  uint8  `cbor:"1,keyasint,omitempty"`
-	From  string `cbor:"2,keyasint,omitempty"`
-	To    string `cbor:"3,keyasint,omitempty"`
-	Body  []byte `cbor:"4,keyasint,omitempty"`
-	Entry []byte `cbor:"5,keyasint,omitempty"`
+	Kind    uint8    `cbor:"1,keyasint,omitempty"`
+	From    string   `cbor:"2,keyasint,omitempty"`
+	To      string   `cbor:"3,keyasint,omitempty"`
+	Body    []byte   `cbor:"4,keyasint,omitempty"`
+	Entry   []byte   `cbor:"5,keyasint,omitempty"`
+	Entries [][]byte `cbor:"6,keyasint,omitempty"`
+	Updates [][]byte `cbor:"7,keyasint,omitempty"`
 }
 
 // counts are what came, went and was passed by.
 type counts struct {
 	sent, unsent, received, entries, spread, foreign, garbage, misled, dropped, complaints, twice, bytesOut, bytesIn atomic.Uint64
-	datagramsOut, datagramsIn, streamsOut, streamsIn, streamBytesOut, streamBytesIn                                  atomic.Uint64
+	updates, datagramsOut, datagramsIn, streamsOut, streamsIn, streamBytesOut, streamBytesIn                         atomic.Uint64
 }
 
 type member struct {
@@ -188,14 +145,18 @@
 	closed    bool
 	done      chan struct{}
 	wg        sync.WaitGroup
-	queue     memberlist.TransmitLimitedQueue
 	encode    cbor.EncMode
 	decode    cbor.DecMode
 	counts    counts
-	seen      atomic.Int64 // others that the membership sees
+	budget    *account
+	seen      atomic.Int64  // others that the membership sees
+	root      atomic.Uint64 // of this process's entries
+	older     atomic.Bool   // members of the older version are heard
 
-	mu      sync.Mutex
-	entries map[string][]byte
+	mu    sync.Mutex
+	known map[string]fleet.Coded
+	queue *dissemination.Queue // what is to be gossiped
+	peers []string             // whom the membership sees, in no order
 }
 
 // Open listens and begins to join the others, which goes on until all that are named are seen, and again whenever one is
@@ -218,109 +179,36 @@
 	if cfg.Log == nil {
 		cfg.Log = slog.New(slog.DiscardHandler)
 	}
-	n := &member{cfg: cfg, events: make(chan Event, cfg.Queue), done: make(chan struct{}), entries: map[string][]byte{}}
-	n.encode, n.decode = fleet.Coding()
-	n.queue.NumNodes, n.queue.RetransmitMult = func() int { return n.Seen() + 1 }, 2
+	n := newMember(cfg)
 	logger := n.logger()
 	var err error
-	if n.transport, err = listen(cfg, logger, &n.counts); err != nil {
+	if n.transport, err = listen(cfg, logger, &n.counts, n.budget); err != nil {
 		return nil, &BindError{cfg.Bind, err}
 	}
 	us := func(t int64) time.Duration { return time.Duration(t) * time.Microsecond }
 	c := memberlist.DefaultLANConfig()
 	c.Name, c.Label, c.SkipInboundLabelCheck, c.Transport, c.Logger, c.LogOutput = cfg.Self, cfg.Cluster, true, n.transport, logger, nil
-	c.RequireNodeNames, c.EnableCompression, c.UDPBufferSize, c.TCPTimeout = true, false, datagram, tcpTimeout
+	c.RequireNodeNames, c.EnableCompression, c.UDPBufferSize, c.TCPTimeout = true, false, frame, tcpTimeout
 	c.ProbeInterval, c.ProbeTimeout, c.GossipInterval, c.PushPullInterval = us(cfg.Probe), us(cfg.ProbeTimeout), us(cfg.Gossip), us(cfg.PushPull)
-	c.SuspicionMult, c.SuspicionMaxTimeoutMult, c.RetransmitMult, c.GossipNodes = cfg.Suspicion, 2, 3, gossipNodes
+	c.SuspicionMult, c.SuspicionMaxTimeoutMult, c.RetransmitMult, c.GossipNodes = cfg.Suspicion, 2, membershipMultiplier, gossipNodes
 	c.GossipToTheDeadTime = 30 * time.Second
 	c.AwarenessMaxMultiplier = 4
-	c.Delegate, c.Events, c.Conflict = n, n, n
+	c.Delegate, c.Events, c.Conflict, c.Ping = n, n, n, n
 	if n.list, err = memberlist.Create(c); err != nil {
 		_ = n.transport.Shutdown()
 		return nil, &ConfigError{err}
 	}
 	n.wg.Go(n.join)
+	n.wg.Go(n.gossip)
 	return n, nil
 }
 
-// join calls on members that are not seen: on the seeds first, then on one of the others at a time. Guards against two sides
-// of a cut that have forgotten each other: the membership itself never calls on who is gone for good.
-func (n *member) join() {
-	rng := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1)) // who is called on first decides nothing
-	first := n.cfg.Seeds
-	for {
-		seen := map[string]bool{n.cfg.Self: true}
-		for _, m := range n.list.Members() {
-			seen[m.Name] = true
-		}
-		var away []string
-		for _, name := range n.transport.names() {
-			if !seen[name] {
-				away = append(away, name)
-			}
-		}
-		if len(seen) == 1 && len(first) > 0 {
-			away = slices.DeleteFunc(slices.Clone(first), func(name string) bool { return name == n.cfg.Self })
-		}
-		rng.Shuffle(len(away), func(i, j int) { away[i], away[j] = away[j], away[i] })
-		for _, name := range away[:min(len(away), 2)] {
-			select {
-			case <-n.done:
-				return
-			default:
-			}
-			_, _ = n.list.Join([]string{name + "/" + nowhere}) // it is tried again, and memberlist has logged it
-		}
-		pause := time.Duration(n.cfg.Rejoin) * time.Microsecond
-		if len(seen) == 1 {
-			pause /= 4
-		}
-		select {
-		case <-n.done:
-			return
-		case <-time.After(pause):
-		}
-	}
-}
-
-func (n *member) Send(m fleet.Message) error {
-	if len(m.Body) > fleet.MaxBody || len(m.To) > fleet.MaxName {
-		n.counts.unsent.Add(1)
-		return &SizeError{len(m.Body)}
-	}
-	if !n.transport.knows(m.To) {
-		n.counts.unsent.Add(1)
-		return &UnknownMemberError{m.To}
-	}
-	b, err := n.encode.Marshal(envelope{Kind: uint8(m.Kind), From: n.cfg.Self, To: m.To, Body: m.Body})
-	if err == nil {
-		// The name is all that the transport goes by. A checksum is added for whoever speaks protocol 5, as all of us do.
-		err = n.list.SendBestEffort(&memberlist.Node{Name: m.To, Addr: nowhereIP, Port: nowherePort, PMax: memberlist.ProtocolVersionMax}, b)
-	}
-	if err != nil {
-		n.counts.unsent.Add(1)
-		return err
-	}
-	n.counts.sent.Add(1)
-	return nil
-}
-
-func (n *member) Spread(name string, entry []byte) {
-	b, err := n.encode.Marshal(envelope{Entry: entry})
-	if err != nil || len(entry) > fleet.MaxEntry {
-		return
-	}
-	n.mu.Lock()
-	n.entries[name] = entry
-	n.mu.Unlock()
-	n.counts.spread.Add(1)
-	n.queue.QueueBroadcast(broadcast{name, b})
-}
-
-func (n *member) Forget(name string) {
-	n.mu.Lock()
-	delete(n.entries, name)
-	n.mu.Unlock()
+// newMember makes what needs no sockets.
+func newMember(cfg Config) *member {
+	n := &member{cfg: cfg, events: make(chan Event, cfg.Queue), done: make(chan struct{}), known: map[string]fleet.Coded{},
+		queue: dissemination.NewQueue(), budget: newAccount(cfg.Budget)}
+	n.encode, n.decode = fleet.Coding()
+	return n
 }
 
 func (n *member) Events() <-chan Event { return n.events }
@@ -336,12 +224,16 @@
 		name string
 		n    *atomic.Uint64
 	}{{"fleet_messages_out", &c.sent}, {"fleet_messages_unsent", &c.unsent}, {"fleet_messages_in", &c.received}, {"fleet_messages_misled", &c.misled},
-		{"fleet_entries_heard", &c.entries}, {"fleet_entries_spread", &c.spread}, {"fleet_foreign", &c.foreign}, {"fleet_garbage", &c.garbage},
+		{"fleet_entries_heard", &c.entries}, {"fleet_updates_heard", &c.updates}, {"fleet_entries_spread", &c.spread}, {"fleet_foreign", &c.foreign}, {"fleet_garbage", &c.garbage},
 		{"fleet_events_dropped", &c.dropped}, {"fleet_net_complaints", &c.complaints}, {"fleet_bytes_out", &c.bytesOut}, {"fleet_bytes_in", &c.bytesIn},
 		{"fleet_datagrams_out", &c.datagramsOut}, {"fleet_datagrams_in", &c.datagramsIn}, {"fleet_streams_out", &c.streamsOut}, {"fleet_streams_in", &c.streamsIn},
 		{"fleet_stream_bytes_out", &c.streamBytesOut}, {"fleet_stream_bytes_in", &c.streamBytesIn}} {
 		put(f.name, f.n.Load(), false)
 	}
+	n.mu.Lock()
+	n.queue.Figures(put)
+	n.mu.Unlock()
+	n.budget.figures(put)
 }
 
 func (n *member) Leave() { _ = n.list.Leave(leaveWithin) } // who has not heard it finds out
@@ -374,141 +266,3 @@
 		n.counts.dropped.Add(1)
 	}
 }
-
-// broadcast is one process's entry on its way to all; a newer one takes its place.
-type broadcast struct {
-	name  string
-	bytes []byte
-}
-
-func (b broadcast) Name() string                                { return b.name }
-func (b broadcast) Invalidates(other memberlist.Broadcast) bool { return false } // by name
-func (b broadcast) Message() []byte                             { return b.bytes }
-func (b broadcast) Finished()                                   {}
-
-// What memberlist calls.
-
-func (n *member) NodeMeta(limit int) []byte {
-	if at := n.cfg.Reach; at.IsValid() {
-		return []byte(at.String())
-	}
-	return nil
-}
-
-func (n *member) GetBroadcasts(overhead, limit int) [][]byte {
-	return n.queue.GetBroadcasts(overhead, limit)
-}
-
-func (n *member) NotifyMsg(b []byte) {
-	var e envelope
-	if len(b) > datagram || n.decode.Unmarshal(b, &e) != nil {
-		n.counts.garbage.Add(1)
-		return
-	}
-	if e.Entry != nil {
-		n.entry(e.Entry)
-		return
-	}
-	switch {
-	case e.Kind == 0 || e.From == "" || len(e.From) > fleet.MaxName || len(e.Body) > fleet.MaxBody:
-		n.counts.garbage.Add(1)
-	case e.To != n.cfg.Self || e.From == n.cfg.Self:
-		n.counts.misled.Add(1)
-	default:
-		n.counts.received.Add(1)
-		n.came(Event{Kind: Message, Msg: fleet.Message{Kind: fleet.Kind(e.Kind), From: e.From, To: e.To, Body: e.Body}})
-	}
-}
-
-func (n *member) entry(b []byte) {
-	if len(b) == 0 || len(b) > fleet.MaxEntry {
-		n.counts.garbage.Add(1)
-		return
-	}
-	n.counts.entries.Add(1)
-	if failpoint.On("net-deaf") {
-		return
-	}
-	n.came(Event{Kind: Entry, Bytes: b})
-}
-
-func (n *member) LocalState(bool) []byte {
-	n.mu.Lock()
-	all := make([][]byte, 0, len(n.entries))
-	for _, b := range n.entries {
-		all = append(all, b)
-	}
-	n.mu.Unlock()
-	b, err := n.encode.Marshal(all)
-	if err != nil {
-		return nil
-	}
-	return b
-}
-
-func (n *member) MergeRemoteState(b []byte, _ bool) {
-	if len(b) == 0 {
-		return
-	}
-	// Entries are bounded one by one: as one array they would be over what Coding allows, and need not fit in memory.
-	rest, count, ok := arrayOf(b)
-	if !ok || count > maxState {
-		n.counts.garbage.Add(1)
-		return
-	}
-	for range count {
-		var entry []byte
-		var err error
-		if rest, err = n.decode.UnmarshalFirst(rest, &entry); err != nil {
-			n.counts.garbage.Add(1)
-			return
-		}
-		n.entry(entry)
-	}
-}
-
-// arrayOf reads the head of a coded array.
-func arrayOf(b []byte) (rest []byte, count int, ok bool) {
-	const array = 4 << 5
-	if b[0]&0xe0 != array {
-		return nil, 0, false
-	}
-	switch info, wide := b[0]&0x1f, 0; {
-	case info < 24:
-		return b[1:], int(info), true
-	case info == 24:
-		wide = 1
-		fallthrough
-	case info == 25:
-		if wide == 0 {
-			wide = 2
-		}
-		if len(b) < 1+wide {
-			return nil, 0, false
-		}
-		for _, x := range b[1 : 1+wide] {
-			count = count<<8 | int(x)
-		}
-		return b[1+wide:], count, true
-	}
-	return nil, 0, false
-}
-
-func (n *member) NotifyJoin(node *memberlist.Node) {
-	n.transport.told(node.Name, node.Meta)
-	if node.Name != n.cfg.Self {
-		n.seen.Add(1)
-		n.came(Event{Kind: Up, Name: node.Name})
-	}
-}
-
-func (n *member) NotifyUpdate(node *memberlist.Node) { n.transport.told(node.Name, node.Meta) }
-
-func (n *member) NotifyLeave(node *memberlist.Node) {
-	if node.Name != n.cfg.Self {
-		n.seen.Add(-1)
-		n.came(Event{Kind: Gone, Name: node.Name})
-	}
-}
-
-func (n *member) NotifyConflict(*memberlist.Node, *memberlist.Node) { n.counts.twice.Add(1) }
--- a/internal/fleetnet/transport.go
+++ b/internal/fleetnet/transport.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/hashicorp/memberlist"
+
+	"pewterwheel/internal/dissemination"
 )
 
 // What memberlist is told as everybody's address. It takes an address for a part of who somebody is: under a name whose
@@ -32,6 +34,7 @@
 	*memberlist.NetTransport
 	cluster string
 	counts  *counts
+	budget  *account
 	packets chan *memberlist.Packet
 	streams chan net.Conn
 	done    chan struct{}
@@ -47,12 +50,12 @@
 
 var _ memberlist.NodeAwareTransport = (*transport)(nil)
 
-func listen(cfg Config, logger *log.Logger, c *counts) (*transport, error) {
+func listen(cfg Config, logger *log.Logger, c *counts, budget *account) (*transport, error) {
 	inner, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{cfg.Bind.Addr().String()}, BindPort: int(cfg.Bind.Port()), Logger: logger})
 	if err != nil {
 		return nil, err
 	}
-	t := &transport{NetTransport: inner, cluster: cfg.Cluster, counts: c, packets: make(chan *memberlist.Packet), streams: make(chan net.Conn),
+	t := &transport{NetTransport: inner, cluster: cfg.Cluster, counts: c, budget: budget, packets: make(chan *memberlist.Packet), streams: make(chan net.Conn),
 		done: make(chan struct{}), slots: make(chan struct{}, maxStreams), own: maps.Clone(cfg.Names), heard: map[string]netip.AddrPort{}, open: map[net.Conn]bool{}}
 	t.wg.Go(t.takePackets)
 	t.wg.Go(t.takeStreams)
@@ -126,6 +129,9 @@
 	}
 	t.counts.bytesOut.Add(uint64(len(b)))
 	t.counts.datagramsOut.Add(1)
+	if inner, _, err := memberlist.RemoveLabelHeaderFromPacket(b); err == nil && !isMessage(inner) {
+		t.budget.spend(dissemination.Membership, dissemination.Out, len(b)+datagramHeader)
+	}
 	return t.NetTransport.WriteToAddress(b, to)
 }
 
@@ -140,19 +146,22 @@
 		return nil, err
 	}
 	t.counts.streamsOut.Add(1)
-	return countedConn{conn, t.counts}, nil
+	t.budget.spend(dissemination.Membership, dissemination.Out, streamHeaders)
+	return countedConn{conn, t.counts, t.budget}, nil
 }
 
 // countedConn counts the bytes of a connection as they are read and written.
 type countedConn struct {
 	net.Conn
 	counts *counts
+	budget *account
 }
 
 // Read reads and counts.
 func (c countedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.counts.streamBytesIn.Add(uint64(n))
+	c.budget.spend(dissemination.Membership, dissemination.In, n)
 	return n, err
 }
 
@@ -160,6 +169,7 @@
 func (c countedConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	c.counts.streamBytesOut.Add(uint64(n))
+	c.budget.spend(dissemination.Membership, dissemination.Out, n)
 	return n, err
 }
 
@@ -186,6 +196,9 @@
 				t.counts.foreign.Add(1)
 				continue
 			}
+			if !isMessage(b) {
+				t.budget.spend(dissemination.Membership, dissemination.In, len(b)+datagramHeader)
+			}
 			p.Buf = b
 			select {
 			case t.packets <- p:
@@ -203,7 +216,8 @@
 			return
 		case raw := <-t.NetTransport.StreamCh():
 			t.counts.streamsIn.Add(1)
-			conn := countedConn{raw, t.counts}
+			t.budget.spend(dissemination.Membership, dissemination.In, streamHeaders)
+			conn := countedConn{raw, t.counts, t.budget}
 			select {
 			case t.slots <- struct{}{}:
 				t.mu.Lock()
