--- a/internal/scaletest/hollow.go
+++ b/internal/scaletest/hollow.go
@@ -1,6 +1,7 @@
-// Package scaletest runs many members of a fleet in one process on loopback, and measures what they cost each other and how
-// fast they learn of each other. The members are hollow: their agent, membership, leases and staged changes are those of the
-// service, and the figures that they tell are generated, for there are no callers. Nothing in service imports it.
+// Package scaletest runs many members of a fleet in one process on loopback, and measures what they cost each other
+// and how fast they learn of each other. The members are hollow: their agent, membership, leases and staged changes are
+// those of the service, and the figures that they tell are generated, for there are no callers. Nothing in service
+// imports it.
 package scaletest
 
 import (
@@ -35,18 +36,18 @@
 
 	spec    Spec
 	names   []string
-	octet   byte           // the second of all its addresses
-	held    net.Listener   // keeps the addresses from other processes
-	network *network       // nil: there are no links between members
-	direct  *addressBook   // where members are reached without links
-	zones   []*addressBook // where members of a zone reach the others by links
+	octet   byte         // the second of all its addresses
+	held    net.Listener // keeps the addresses from other processes
+	network *network     // nil: there are no links between members
+	mu      sync.Mutex
+	books   map[int]addressBook // where members are reached, by the offset from their own ports
 }
 
 type addressBook = map[string]netip.AddrPort
 
 const (
-	// firstPort is that of a member; links from the zones to it are at the ports that follow. It is below those that the
-	// system gives to connections.
+	// firstPort is that of a member; links from the zones to it are at the ports that follow. It is below those that
+	// the system gives to connections.
 	firstPort = 10_946
 	// aRow of members has addresses that differ in the last number.
 	aRow = 250
@@ -62,17 +63,18 @@
 	if spec.Regions == 0 {
 		spec.Regions = 2
 	}
-	f := &Fleet{spec: spec, direct: &addressBook{}}
+	f := &Fleet{spec: spec, books: map[int]addressBook{}}
 	if err := f.hold(); err != nil {
 		return nil, err
 	}
 	for i := range spec.Members {
 		zone := i % spec.Zones
-		m := &Member{Name: fmt.Sprintf("member-%04d", i), Zone: fmt.Sprintf("zone-%d", zone), fleet: f, index: i, zone: zone}
+		m := &Member{fleet: f, index: i, zone: zone}
+		m.Name = fmt.Sprintf("member-%04d", i)
+		m.Zone = fmt.Sprintf("zone-%d", zone)
 		m.settings.Store(firstSettings)
 		f.Members = append(f.Members, m)
 		f.names = append(f.names, m.Name)
-		(*f.direct)[m.Name] = f.address(i, 0)
 	}
 	if spec.Links == nil {
 		return f, nil
@@ -82,13 +84,6 @@
 		_ = f.held.Close()
 		return nil, err
 	}
-	for zone := range spec.Zones {
-		book := addressBook{}
-		for i, name := range f.names {
-			book[name] = f.address(i, 1+zone)
-		}
-		f.zones = append(f.zones, &book)
-	}
 	return f, nil
 }
 
@@ -112,12 +107,22 @@
 	return netip.AddrPortFrom(ip, uint16(firstPort+offset))
 }
 
-// addresses is where a member reaches the others.
+// addresses is where a member reaches the others: they themselves, the links of its zone, or links of its own.
 func (f *Fleet) addresses(m *Member) addressBook {
-	if f.network == nil {
-		return *f.direct
+	offset := 0
+	if f.network != nil {
+		offset = f.network.offset(m)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.books[offset] == nil {
+		book := addressBook{}
+		for i, name := range f.names {
+			book[name] = f.address(i, offset)
+		}
+		f.books[offset] = book
 	}
-	return *f.zones[m.zone]
+	return f.books[offset]
 }
 
 // Start starts all members at once, or evenly spread over a time, and returns when all run.
@@ -184,14 +189,30 @@
 		return nil
 	}
 	at := m.fleet.address(m.index, 0)
-	opened, err := fleetnet.Open(fleetnet.Config{Cluster: "scale", Self: m.Name, Bind: at, Reach: at, Names: m.fleet.addresses(m)})
+	opened, err := fleetnet.Open(fleetnet.Config{
+		Cluster: "scale",
+		Self:    m.Name,
+		Bind:    at,
+		Reach:   at,
+		Names:   m.fleet.addresses(m),
+	})
 	if err != nil {
 		return err
 	}
 	r := &incarnation{net: &mutedNet{Net: opened}, ended: make(chan struct{})}
 	figures := &generator{rng: rand.New(rand.NewPCG(m.fleet.spec.Seed, uint64(m.index)))}
-	r.agent = agent.New(agent.Config{Self: m.Name, Zone: m.Zone, Program: "0123456789ab", Settings: m.settings.Load(), Roster: ourRoster, Net: r.net,
-		Board: &r.board, Make: m.modules, First: map[fleet.Kind][]byte{fleet.Stage: stage.First(stage.Target{}, stage.Target{})}, Window: figures.window})
+	r.agent = agent.New(agent.Config{
+		Self:     m.Name,
+		Zone:     m.Zone,
+		Program:  "0123456789ab",
+		Settings: m.settings.Load(),
+		Roster:   ourRoster,
+		Net:      r.net,
+		Board:    &r.board,
+		Make:     m.modules,
+		First:    map[fleet.Kind][]byte{fleet.Stage: stage.First(stage.Target{}, stage.Target{})},
+		Window:   figures.window,
+	})
 	go func() {
 		defer close(r.ended)
 		r.agent.Run()
@@ -203,8 +224,14 @@
 
 // modules makes the state machines of a member for an incarnation.
 func (m *Member) modules(incarnation uint64) []fleet.Part {
-	lessor := lease.New(lease.Config{Self: m.Name, Incarnation: incarnation, Seed: incarnation, Roster: ourRoster, Names: m.fleet.names,
-		Floor: incarnation / 1000})
+	lessor := lease.New(lease.Config{
+		Self:        m.Name,
+		Incarnation: incarnation,
+		Seed:        incarnation,
+		Roster:      ourRoster,
+		Names:       m.fleet.names,
+		Floor:       incarnation / 1000,
+	})
 	return []fleet.Part{lessor, stage.New(stage.Config{Name: m.Name, Zone: m.Zone, Lease: lessor})}
 }
 
--- a/internal/scaletest/scale_test.go
+++ b/internal/scaletest/scale_test.go
@@ -16,12 +16,17 @@
 )
 
 var (
-	sizes    = flag.String("sizes", "", "numbers of members to measure, with commas; empty: TestScale measures nothing")
+	sizes    = flag.String("sizes", "", "numbers of members, with commas; empty: TestScale measures nothing")
 	seconds  = flag.Int("seconds", 30, "length of each measured stretch")
 	trials   = flag.Int("trials", 5, "changes of one member's settings that are followed, at each size")
-	settle   = flag.Int("settle", 180, "seconds at the most until the entries of all members hold as many windows as they may")
-	patience = flag.Int("patience", 120, "seconds until a fleet that does not come to know itself is measured all the same")
+	settle   = flag.Int("settle", 180, "seconds at the most until all entries hold as many windows as they may")
+	patience = flag.Int("patience", 120, "seconds until a fleet is measured though not all members know all")
 	format   = flag.String("format", "plain", "of the table: plain, markdown or tsv")
+	within   = flag.Int("within", 0, "seconds over which the starts are spread; 0: all at once")
+	linked   = flag.Bool("links", false, "links between members: 8 zones in 2 regions, round trips of 1, 3 and 40 ms")
+	loss     = flag.Float64("loss", 0, "part of datagrams that links lose")
+	double   = flag.Float64("double", 0, "part of datagrams that links send twice")
+	late     = flag.Float64("late", 0, "part of datagrams that links send 200 ms late")
 	most     = flag.Int("memory", 11, "GiB of memory at which the measuring stops")
 )
 
@@ -80,7 +85,12 @@
 	for _, c := range []struct {
 		name string
 		c    Counter
-	}{{"datagrams out", DatagramBytesOut}, {"datagrams in", DatagramBytesIn}, {"streams out", StreamBytesOut}, {"streams in", StreamBytesIn}} {
+	}{
+		{"datagrams out", DatagramBytesOut},
+		{"datagrams in", DatagramBytesIn},
+		{"streams out", StreamBytesOut},
+		{"streams in", StreamBytesIn},
+	} {
 		r := s.Rates[c.c]
 		f.put(prefix+c.name+", KB/s, mean", r.Mean/kilo, 2)
 		f.put(prefix+c.name+", KB/s, highest member", r.Most/kilo, 2)
@@ -91,7 +101,8 @@
 	f.put(prefix+"in and out, payload, KB/s", s.Payload()/kilo, 2)
 	f.put(prefix+"in and out, with headers, KB/s", s.Wire()/kilo, 2)
 	f.put(prefix+"processor a member, % of a core", s.Core*100, 2)
-	f.says(prefix+"processor in all, cores of "+strconv.Itoa(runtime.NumCPU()), strconv.FormatFloat(s.Cores, 'f', 2, 64))
+	cores := strconv.Itoa(runtime.NumCPU())
+	f.says(prefix+"processor in all, cores of "+cores, strconv.FormatFloat(s.Cores, 'f', 2, 64))
 	f.put(prefix+"events dropped a second", s.Rates[EventsDropped].Mean, 3)
 	f.says(prefix+"members that know all, unsuspected, %", strconv.FormatFloat(s.Whole*100, 'f', 1, 64))
 	f.says(prefix+"seconds measured", strconv.FormatFloat(s.Seconds, 'f', 0, 64))
@@ -133,13 +144,13 @@
 	}
 	defer fleet.Close()
 	begin := time.Now()
-	if err := fleet.Start(0); err != nil {
+	if err := fleet.Start(time.Duration(*within) * time.Second); err != nil {
 		t.Fatal(err)
 	}
 	limit := time.Duration(*patience) * time.Second
 	knew := fleet.AwaitAll(begin, limit)
-	f.took("all started at once: half know all, s", knew, 0.5)
-	f.took("all started at once: each knows all, s", knew, 1)
+	f.took("started: half know all, s", knew, 0.5)
+	f.took("started: each knows all, s", knew, 1)
 	full := fleet.AwaitFull(time.Duration(*settle) * time.Second)
 	f.took("entries hold all windows after, s", full, 1)
 	length := time.Duration(*seconds) * time.Second
@@ -158,6 +169,16 @@
 	return f
 }
 
+// asked are the links that the flags ask for; nil: none.
+func asked() *Links {
+	if !*linked {
+		return nil
+	}
+	links := UsualLinks()
+	links.Loss, links.Double, links.Late = *loss, *double, *late
+	return &links
+}
+
 // load is that of the machine.
 func load() string {
 	text, err := os.ReadFile("/proc/loadavg")
@@ -168,10 +189,12 @@
 	return strings.Join(fields[:3], " ")
 }
 
-// changesEach is the time between changes of a member's settings at the target's rate: 980 a day, at all members at once.
+// changesEach is the time between changes of a member's settings at the target's rate: 980 a day, at all members at
+// once.
 const changesEach = 88 * time.Second
 
-// withChanges measures while all members change their settings, once each 88 s and once at least, and one member restarts.
+// withChanges measures while all members change their settings, once each 88 s and once at least, and one member
+// restarts.
 func withChanges(t *testing.T, fleet *Fleet, length time.Duration) Stretch {
 	t.Helper()
 	result := make(chan Stretch)
@@ -228,7 +251,11 @@
 			continue
 		}
 		l := Fit(x, y)
-		rows = append(rows, []string{name, fmt.Sprintf("%.3g", l.At0), fmt.Sprintf("%.3g", l.Slope), fmt.Sprintf("%.3g", l.Residual)})
+		row := []string{name}
+		for _, v := range []float64{l.At0, l.Slope, l.Residual} {
+			row = append(row, strconv.FormatFloat(v, 'g', 3, 64))
+		}
+		rows = append(rows, row)
 	}
 	write(to, rows, format)
 }
@@ -267,7 +294,7 @@
 		if err != nil || n < 2 {
 			t.Fatalf("-sizes: %q is no number of members", text)
 		}
-		all = append(all, measureSize(t, Spec{Members: n, Seed: 1}))
+		all = append(all, measureSize(t, Spec{Members: n, Links: asked(), Seed: 1}))
 		t.Logf("%d members are measured", n)
 	}
 	fmt.Printf("%s, %s, %d cores, changes each %s and one restart in the stretch with changes\n",
