--- a/internal/scaletest/hollow.go
+++ b/internal/scaletest/hollow.go
@@ -174,7 +174,7 @@
 type incarnation struct {
 	net   *mutedNet
 	agent *agent.Agent
-	board fleet.Board
+	board fleet.ViewHolder
 	ended chan struct{}
 }
 
@@ -208,7 +208,7 @@
 		Settings: m.settings.Load(),
 		Roster:   ourRoster,
 		Net:      r.net,
-		Board:    &r.board,
+		Views:    &r.board,
 		Make:     m.modules,
 		First:    map[fleet.Kind][]byte{fleet.Stage: stage.First(stage.Target{}, stage.Target{})},
 		Window:   figures.window,
@@ -223,7 +223,7 @@
 }
 
 // modules makes the state machines of a member for an incarnation.
-func (m *Member) modules(incarnation uint64) []fleet.Part {
+func (m *Member) modules(incarnation uint64) []fleet.Module {
 	lessor := lease.New(lease.Config{
 		Self:        m.Name,
 		Incarnation: incarnation,
@@ -232,7 +232,7 @@
 		Names:       m.fleet.names,
 		Floor:       incarnation / 1000,
 	})
-	return []fleet.Part{lessor, stage.New(stage.Config{Name: m.Name, Zone: m.Zone, Lease: lessor})}
+	return []fleet.Module{lessor, stage.New(stage.Config{Name: m.Name, Zone: m.Zone, Lease: lessor})}
 }
 
 // Stop ends a member that tells the others that it leaves.
