Let the site file say how many bytes a second a member's control traffic may have

Need: the budget is a figure of the site, not of the code. Change: control-bytes in [fleet], 11,000 unless set.

--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -100,6 +100,7 @@
 		{Key: "seeds", Type: Words, Optional: true, Reload: true, Doc: "members to join by; absent: all of them"},
 		{Key: "lease", Type: Duration, Default: "2s", Min: 500 * ms, Max: minute, Doc: "how long who alone may act may do so without asking again"},
 		{Key: "drift", Type: Part, Default: "1%", Min: 0.001, Max: 0.2, Doc: "how much faster or slower than another the clock of a machine may run at the most"},
+		{Key: "control-bytes", Type: Count, Default: "11000", Min: 2000, Max: 1e8, Doc: "bytes a second that one member's traffic with the others may have in the long run, in and out together"},
 	}},
 	{Kind: "member", Owner: OfSite, Named: ByWord, Doc: "one process of the fleet", Settings: []Setting{
 		{Key: "address", Type: Socket, Reload: true, Doc: "where others reach it, by UDP and TCP"},
--- a/internal/config/typed.go
+++ b/internal/config/typed.go
@@ -94,6 +94,7 @@
 	Seeds        []string // none: all members
 	Lease        int64
 	Drift        float64
+	ControlBytes int64 // a second, in and out together, of one member
 }
 
 // Member is one process of the fleet.
@@ -175,7 +176,7 @@
 	if f := d.one("fleet"); f != nil {
 		roster, _ := f.value("roster")
 		seeds, _ := f.value("seeds")
-		s.Fleet = &Fleet{f.text("cluster"), uint64(num(f, "roster-number")), roster.List, seeds.List, us(f, "lease"), num(f, "drift")}
+		s.Fleet = &Fleet{f.text("cluster"), uint64(num(f, "roster-number")), roster.List, seeds.List, us(f, "lease"), num(f, "drift"), int64(num(f, "control-bytes"))}
 	}
 	for _, b := range d.of("member") {
 		m := Member{Name: b.Name, Zone: b.text("zone")}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -23,6 +23,7 @@
 	"pewterwheel/internal/advice"
 	"pewterwheel/internal/agent"
 	"pewterwheel/internal/config"
+	"pewterwheel/internal/dissemination"
 	"pewterwheel/internal/failpoint"
 	"pewterwheel/internal/fleet"
 	"pewterwheel/internal/fleetnet"
@@ -199,7 +200,8 @@
 func (t *together) Run() {
 	defer close(t.over)
 	cfg := fleetnet.Config{Cluster: t.base.Fleet.Cluster, Self: t.member.Name, Bind: t.member.Bind, Reach: t.member.Address,
-		Names: addresses(t.base, t.member.Name), Seeds: t.base.Fleet.Seeds, Log: t.log}
+		Names: addresses(t.base, t.member.Name), Seeds: t.base.Fleet.Seeds, Log: t.log,
+		Budget: dissemination.BudgetConfig{Rate: t.base.Fleet.ControlBytes}}
 	var net fleetnet.Net
 	for tries := 0; ; tries++ {
 		var err error
