--- a/internal/dissemination/budget.go
+++ b/internal/dissemination/budget.go
@@ -78,8 +78,10 @@
 // BudgetConfig says how much control traffic a member may have, both directions and both transports together. A value of
 // 0 or less stands for its default.
 type BudgetConfig struct {
-	Rate   int64 // bytes a second that are held in the long run; DefaultRate
-	Factor int64 // in no second more than Factor x Rate bytes are allowed; DefaultFactor
+	Rate int64 // bytes a second that are held in the long run; DefaultRate
+	// Factor: in no second more than Factor x Rate bytes are allowed; DefaultFactor. A larger message never is, and with a
+	// Factor of 1 a sixteenth of the rate stays unused.
+	Factor int64
 	Burst  int64 // microseconds for which Factor x Rate may be spent after a quiet time; DefaultBurst
 }
 
