Let the conductor of a change ask for windows of figures, and play it in the simulation

Need: the figures of all processes went to all, for the few that judge a change. Change: stage.Config.Figures asks while evidence is kept; slots are at least five quarters of the windows' length, a window that began before its process was warm counts for nothing, and windows left in the view from before count for nothing. internal/fleetsim/stages plays both ways.

--- a/internal/fleetsim/stages/play.go
+++ b/internal/fleetsim/stages/play.go
@@ -1,6 +1,7 @@
 package stages
 
 import (
+	"maps"
 	"math"
 	"slices"
 
@@ -75,128 +76,186 @@
 	act fleet.Act
 }
 
-// Play takes one change through a fleet, and returns what became of it.
+// play is one change on its way through a fleet.
+type play struct {
+	w     *World
+	b     *book
+	rules stage.Rules
+	parts []*stage.Part
+	mail  []fleet.Message
+	acts  []doing
+	res   Result
+	seen  []bool
+	views uint64
+	calls *mailed // nil: windows of figures stand in the entries of all
+}
+
+// Play takes one change through a fleet, and returns what became of it. Every process's windows stand in its entry.
 func Play(seed uint64, n int, e Effect, rules stage.Rules) Result {
+	return playWith(seed, n, e, rules, nil)
+}
+
+func playWith(seed uint64, n int, e Effect, rules stage.Rules, calls *mailed) Result {
 	w := NewWorld(seed, n, e)
-	b := &book{}
-	res := Result{}
-	parts := make([]*stage.Part, n)
-	var mail []fleet.Message
-	var acts []doing
-	target := stage.Target{Change: 7, Settings: "new.ini", Program: "/new"}
-	run := func(i int, f func(out *fleet.Out)) {
-		var out fleet.Out
-		f(&out)
-		mail = append(mail, out.Send...)
-		for _, a := range out.Acts {
-			at := w.now + 1e6
-			if a.What != stage.Conclude {
-				w.procs[i].gone = true
-				at = w.now + int64(restartAt*(0.7+0.6*w.r.Float64())*1e6)
-			}
-			acts = append(acts, doing{at, i, a})
-		}
-		for k, v := range out.Parts {
-			w.procs[i].entry.Parts = map[fleet.Kind][]byte{k: v}
-			w.procs[i].entry.Version++
-		}
-		for _, note := range out.Notes {
-			switch note.What {
-			case "stage":
-				res.Opened = append(res.Opened, int(note.N))
-			case "halted":
-				res.Halted, res.Reason, res.Minutes = true, note.Text, float64(w.now)/60e6
-			case "over":
-				if res.Over = true; !res.Halted {
-					res.Minutes = float64(w.now) / 60e6
-				}
-			}
-		}
-	}
-	begin := func(i int, running, concluded stage.Target) {
-		parts[i] = stage.New(stage.Config{Name: name(i), Zone: w.procs[i].entry.Zone, Lease: lessor{b, name(i)}, Running: running,
-			Concluded: concluded, Rules: rules})
-		run(i, func(out *fleet.Out) { parts[i].Start(w.now, out) })
-	}
+	p := &play{w: w, b: &book{}, rules: rules, parts: make([]*stage.Part, n), seen: make([]bool, n), calls: calls}
 	for i := range n {
-		begin(i, stage.Target{}, stage.Target{})
+		p.begin(i, stage.Target{}, stage.Target{})
 	}
 	proposer := int(seed) % n
 	cutAt := int64(math.MaxInt64)
 	if seed%5 == 0 { // every fifth run loses a conductor on the way
 		cutAt = int64(w.r.Float64() * 900e6)
 	}
-	seen := make([]bool, n)
-	var number uint64
-	for ; w.now < 7200e6 && !res.Over; w.now += step {
+	target := stage.Target{Change: 7, Settings: "new.ini", Program: "/new"}
+	for ; w.now < 7200e6 && !p.res.Over; w.now += step {
 		if w.now == 60e6 {
-			run(proposer, func(out *fleet.Out) { _ = parts[proposer].Propose(w.now, target, out) })
+			p.run(proposer, func(out *fleet.Out) { _ = p.parts[proposer].Propose(w.now, target, out) })
 		}
-		if w.now >= cutAt && b.holder != "" {
-			b.claims = append(slices.DeleteFunc(b.claims, func(n string) bool { return n == b.holder }), b.holder)
-			b.holder, cutAt = "", math.MaxInt64
-			b.settle()
+		if w.now >= cutAt && p.b.holder != "" {
+			p.b.claims = append(slices.DeleteFunc(p.b.claims, func(n string) bool { return n == p.b.holder }), p.b.holder)
+			p.b.holder, cutAt = "", math.MaxInt64
+			p.b.settle()
 		}
 		if w.now%window == 0 {
 			w.Windows()
-			res.Most = max(res.Most, w.OnIt())
-			number++
-			v := &fleet.View{Number: number, Members: make([]fleet.Member, 0, n)}
-			for _, p := range w.procs {
-				m := fleet.Member{Entry: p.entry, Suspect: p.cut}
-				if p.gone {
-					m.State = fleet.Draining
-				}
-				v.Members = append(v.Members, m)
-			}
-			for i := range n {
-				reads := b.holder == name(i) || seed%5 == 0 && slices.Contains(b.claims, name(i))
-				if seen[i] && !reads && (int(w.now/window)+i)%100 != 0 {
-					continue // who does not conduct and will not is told less often, to save time
-				}
-				seen[i] = true
-				run(i, func(out *fleet.Out) { parts[i].View(w.now, v, out) })
-			}
+			p.res.Most = max(p.res.Most, w.OnIt())
+			p.view(seed%5 == 0)
 		}
-		busy := 0
-		for _, p := range w.procs {
-			if p.gone {
-				busy++
-			}
+		p.res.Worst = max(p.res.Worst, w.away())
+		p.deliver()
+		p.finish()
+		for _, c := range slices.Clone(p.b.claims) {
+			i := at(c)
+			p.run(i, func(out *fleet.Out) { p.parts[i].Tick(w.now, out) })
 		}
-		res.Worst = max(res.Worst, busy)
-		for _, m := range take(&mail) {
-			to := at(m.To)
-			if from := at(m.From); w.procs[to].cut || w.procs[from].cut || w.procs[to].gone {
-				continue
-			}
-			run(to, func(out *fleet.Out) { parts[to].Message(w.now, m, out) })
+	}
+	p.res.Cost = w.Cost / max(1, w.Whole) * float64(w.now) / 60e6
+	return p.res
+}
+
+// run calls a process, and takes in what it wants.
+func (p *play) run(i int, f func(out *fleet.Out)) {
+	var out fleet.Out
+	f(&out)
+	w := p.w
+	p.mail = append(p.mail, out.Send...)
+	for _, a := range out.Acts {
+		at := w.now + 1e6
+		if a.What != stage.Conclude {
+			w.procs[i].gone = true
+			at = w.now + int64(restartAt*(0.7+0.6*w.r.Float64())*1e6)
 		}
-		for k := 0; k < len(acts); k++ {
-			d := acts[k]
-			if d.at > w.now {
-				continue
-			}
-			acts = slices.Delete(acts, k, k+1)
-			k--
-			old, p := parts[d.who], w.procs[d.who]
-			if d.act.What == stage.Conclude {
-				run(d.who, func(out *fleet.Out) { old.Done(w.now, d.act, nil, out) })
-				continue
+		p.acts = append(p.acts, doing{at, i, a})
+	}
+	for k, v := range out.Parts {
+		e := &w.procs[i].entry
+		e.Parts = maps.Clone(e.Parts) // views hold the last one
+		if e.Parts[k] = v; v == nil {
+			delete(e.Parts, k)
+		}
+		e.Version++
+	}
+	for _, h := range out.Heard {
+		p.calls.hear(i, h)
+	}
+	for _, note := range out.Notes {
+		p.note(note)
+	}
+}
+
+func (p *play) note(note fleet.Note) {
+	switch note.What {
+	case "stage":
+		p.res.Opened = append(p.res.Opened, int(note.N))
+	case "halted":
+		p.res.Halted, p.res.Reason, p.res.Minutes = true, note.Text, float64(p.w.now)/60e6
+	case "over":
+		if p.res.Over = true; !p.res.Halted {
+			p.res.Minutes = float64(p.w.now) / 60e6
+		}
+	}
+}
+
+// begin starts a life of a process.
+func (p *play) begin(i int, running, concluded stage.Target) {
+	w := p.w
+	c := stage.Config{Name: name(i), Zone: w.procs[i].entry.Zone, Lease: lessor{p.b, name(i)}, Running: running, Concluded: concluded, Rules: p.rules}
+	if p.calls != nil {
+		c.Figures = p.calls.begin(i, w.procs[i].entry.Incarnation)
+	}
+	p.parts[i] = stage.New(c)
+	p.run(i, func(out *fleet.Out) { p.parts[i].Start(w.now, out) })
+	p.seen[i] = false
+}
+
+// view shows the fleet to its processes: to all that read figures, and to the others less often, to save time.
+func (p *play) view(followers bool) {
+	w := p.w
+	p.views++
+	v := &fleet.View{Number: p.views, Members: make([]fleet.Member, 0, len(w.procs))}
+	for _, q := range w.procs {
+		m := fleet.Member{Entry: q.entry, Suspect: q.cut}
+		if q.gone {
+			m.State = fleet.Draining
+		}
+		if p.calls != nil {
+			m.Windows = nil
+		}
+		v.Members = append(v.Members, m)
+	}
+	if p.calls != nil {
+		p.calls.windows(p, v)
+	}
+	for i := range w.procs {
+		reads := p.b.holder == name(i) || followers && slices.Contains(p.b.claims, name(i))
+		if p.seen[i] && !reads && (int(w.now/window)+i)%100 != 0 {
+			continue
+		}
+		p.seen[i] = true
+		shown := v
+		if p.calls != nil {
+			shown = p.calls.shown(i, v)
+		}
+		p.run(i, func(out *fleet.Out) { p.parts[i].View(w.now, shown, out) })
+	}
+}
+
+// deliver brings the messages whose sender and receiver are there.
+func (p *play) deliver() {
+	w := p.w
+	for _, m := range take(&p.mail) {
+		to := at(m.To)
+		if from := at(m.From); w.procs[to].cut || w.procs[from].cut || w.procs[to].gone {
+			continue
+		}
+		p.run(to, func(out *fleet.Out) {
+			if m.Kind == fleet.Figures {
+				p.calls.modules[to].Message(w.now, m, out)
+			} else {
+				p.parts[to].Message(w.now, m, out)
 			}
-			run(d.who, func(out *fleet.Out) { old.Done(w.now, d.act, nil, out) })
-			t, _ := stage.DecodeTarget(d.act.Body)
-			w.restart(p, d.act.What == stage.Apply)
-			begin(d.who, t, stage.Target{})
-			seen[d.who] = false
+		})
+	}
+}
+
+// finish ends the acts that are over.
+func (p *play) finish() {
+	w := p.w
+	for k := 0; k < len(p.acts); k++ {
+		d := p.acts[k]
+		if d.at > w.now {
+			continue
 		}
-		for _, c := range slices.Clone(b.claims) {
-			i := at(c)
-			run(i, func(out *fleet.Out) { parts[i].Tick(w.now, out) })
+		p.acts = slices.Delete(p.acts, k, k+1)
+		k--
+		p.run(d.who, func(out *fleet.Out) { p.parts[d.who].Done(w.now, d.act, nil, out) })
+		if d.act.What == stage.Conclude {
+			continue
 		}
+		t, _ := stage.DecodeTarget(d.act.Body)
+		w.restart(w.procs[d.who], d.act.What == stage.Apply)
+		p.begin(d.who, t, stage.Target{})
 	}
-	res.Cost = w.Cost / max(1, w.Whole) * float64(w.now) / 60e6
-	return res
 }
 
 func at(name string) int { return int(name[1]-'0')*100 + int(name[2]-'0')*10 + int(name[3]-'0') }
--- a/internal/fleetsim/stages/stages_test.go
+++ b/internal/fleetsim/stages/stages_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"flag"
+	"fmt"
 	"runtime"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"pewterwheel/internal/stage"
@@ -14,6 +16,7 @@
 	seeds = flag.Int("stages.seeds", 3, "runs of each kind of change")
 	first = flag.Int("stages.first", 1, "the first seed")
 	size  = flag.Int("stages.processes", 300, "processes of the fleet")
+	rate  = flag.Int("stages.rate", 0, "bytes a second of figures that a conductor takes in; 0: as internal/aggregate has it")
 	only  = flag.String("stages.only", "", "the one kind of change to play")
 )
 
@@ -128,3 +131,57 @@
 		}
 	}
 }
+
+// verdicts are how many plays of one kind of change came to the right end, and when.
+type verdicts struct {
+	right, over int
+	minutes     []Result
+	most        float64
+}
+
+func (v verdicts) line() string {
+	minutes := func(r Result) float64 { return r.Minutes }
+	return fmt.Sprintf("%d/%d right, %d over; minutes p50 %.1f p90 %.1f; most traffic p90 %.3f", v.right, len(v.minutes), v.over,
+		quantile(v.minutes, 0.5, minutes), quantile(v.minutes, 0.9, minutes), v.most)
+}
+
+func verdictsOf(list []Result, effect Effect) verdicts {
+	v := verdicts{minutes: list, most: quantile(list, 0.9, func(r Result) float64 { return r.Most })}
+	for _, r := range list {
+		if r.Over {
+			v.over++
+		}
+		if r.Over && r.Halted == (effect != Effect{}) {
+			v.right++
+		}
+	}
+	return v
+}
+
+// TestFiguresByMessage plays each kind of change with windows of figures in the entries of all, and with windows that the
+// conductor asks for, as long as its rate allows. Of a hundred runs one may end otherwise than it should.
+func TestFiguresByMessage(t *testing.T) {
+	for _, k := range kinds {
+		if *only != "" && *only != k.name {
+			continue
+		}
+		before := verdictsOf(all(func(seed uint64) Result { return Play(seed, *size, k.effect, stage.Rules{}) }), k.effect)
+		var length atomic.Int64
+		list := all(func(seed uint64) Result {
+			r, long := PlayMailed(seed, *size, k.effect, stage.Rules{}, int64(*rate))
+			length.Store(max(length.Load(), long))
+			return r
+		})
+		now := verdictsOf(list, k.effect)
+		t.Logf("%-16s %d processes, in entries: %s", k.name, *size, before.line())
+		t.Logf("%-16s %d processes, windows of %d s: %s", k.name, *size, length.Load()/1e6, now.line())
+		for i, r := range list {
+			if !r.Over || r.Halted != (k.effect != Effect{}) {
+				t.Logf("%s, seed %d: %+v", k.name, *first+i, r)
+			}
+		}
+		if now.right < len(list)-*seeds/100 {
+			t.Errorf("%s: %d of %d right", k.name, now.right, len(list))
+		}
+	}
+}
--- a/internal/fleetsim/stages/world.go
+++ b/internal/fleetsim/stages/world.go
@@ -282,3 +282,14 @@
 	}
 	return on / max(1, all)
 }
+
+// away is how many processes change just now.
+func (w *World) away() int {
+	n := 0
+	for _, p := range w.procs {
+		if p.gone {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/member/parts.go
+++ b/internal/member/parts.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"pewterwheel/internal/advice"
+	"pewterwheel/internal/aggregate"
 	"pewterwheel/internal/config"
 	"pewterwheel/internal/failpoint"
 	"pewterwheel/internal/fleet"
@@ -35,8 +36,17 @@
 	f := s.Fleet
 	t.lessor = lease.New(doctored(lease.Config{Self: t.member.Name, Incarnation: life, Seed: life, Roster: f.RosterNumber, Names: f.Roster,
 		Lease: f.Lease, Drift: f.Drift, Floor: life / 1000, Renewals: failpoint.Enabled}))
-	t.stage = stage.New(stage.Config{Name: t.member.Name, Zone: t.member.Zone, Lease: t.lessor, Running: running, Concluded: concluded, Rules: stageRules()})
-	parts := []fleet.Module{t.lessor, t.stage}
+	figures := aggregate.New(aggregate.Config{Self: t.member.Name, Seed: life})
+	t.stage = stage.New(stage.Config{
+		Name:      t.member.Name,
+		Zone:      t.member.Zone,
+		Lease:     t.lessor,
+		Running:   running,
+		Concluded: concluded,
+		Figures:   figures,
+		Rules:     stageRules(),
+	})
+	parts := []fleet.Module{t.lessor, figures, t.stage}
 	if t.table != nil {
 		cfg := t.keepers(life, t.lessor)
 		cfg.Barred = t.stage.Soon
--- a/internal/stage/api.go
+++ b/internal/stage/api.go
@@ -75,12 +75,23 @@
 	// that follow each other in the order in which they change.
 	Neighbours func(a, b string) bool
 
+	// Figures asks the other processes for their windows of figures; nil: they stand in the view unasked.
+	Figures Subscriber
+
 	Rules Rules
 
 	doctor doctor
 	oracle func(stage int) bool // for the search: whether a stage does worse, in place of the figures
 }
 
+// Subscriber asks the other processes for their windows of figures, which then come to stand in the view.
+type Subscriber interface {
+	// Want says whether they are wanted. It may be said again and again.
+	Want(now int64, wanted bool, out *fleet.Out)
+	// Length is how long the windows are that were asked for, in microseconds.
+	Length() int64
+}
+
 // New returns the part of one process. It does nothing until Start.
 func New(c Config) *Part { return newPart(c) }
 
@@ -89,3 +100,7 @@
 // (*RunningError). nil means that this process asks for the conductor's lease now; what comes of it stands in the notes:
 // "opened", or "refused" where the lease's record shows a change that runs, or nobody grants it in Rules.Ask.
 func (p *Part) Propose(now int64, t Target, out *fleet.Out) error { return p.propose(now, t, out) }
+
+// EntryWindows tells whether the running change is conducted by a process of the version before, which reads the windows of
+// figures that stand in entries and asks nobody for them: meanwhile this process has to write them there.
+func (p *Part) EntryWindows() bool { return p.watch.readsEntries() }
--- a/internal/stage/conductor.go
+++ b/internal/stage/conductor.go
@@ -82,8 +82,8 @@
 	}
 }
 
-// gather reads the figures of all, in those who conduct or would follow.
-func (p *Part) gather(now int64, v *fleet.View) {
+// gather reads the figures of all, in those who conduct or would follow, and asks for them meanwhile.
+func (p *Part) gather(now int64, v *fleet.View, out *fleet.Out) {
 	c := &p.conductor
 	r := p.watch.runs()
 	if c.holds && c.rec.Phase == running {
@@ -91,13 +91,19 @@
 	}
 	if r == 0 || !c.claimed {
 		c.evidence = nil
+		p.want(now, false, out)
 		return
 	}
+	p.want(now, true, out)
 	e := c.evidence
-	if e == nil || e.change != r {
+	fresh := e == nil || e.change != r
+	if fresh {
 		e = newEvidence(p.c.Rules, r, now, p.c.doctor)
+		e.asked = p.c.Figures != nil
+		e.slotEnd = now + p.slot()
 		c.evidence = e
 	}
+	e.slot, e.fresh = p.slot(), fresh
 	if p.c.oracle != nil {
 		return
 	}
@@ -117,6 +123,22 @@
 	e.tick(now)
 }
 
+// want says whether this process needs the others' figures.
+func (p *Part) want(now int64, wanted bool, out *fleet.Out) {
+	if p.c.Figures != nil {
+		p.c.Figures.Want(now, wanted, out)
+	}
+}
+
+// slot is over how long a stretch old and new are compared: long enough that each process's windows fall into it, also where
+// they come a little late, for who shows nothing in half of the slots is in no comparison.
+func (p *Part) slot() int64 {
+	if p.c.Figures == nil {
+		return p.c.Rules.Slot
+	}
+	return max(p.c.Rules.Slot, p.c.Figures.Length()/4*5)
+}
+
 // conduct does what the holder of the lease has to do, and claims it where this process should.
 func (p *Part) conduct(now int64, out *fleet.Out) {
 	c := &p.conductor
@@ -586,7 +608,7 @@
 	if now < c.lookAt {
 		return
 	}
-	c.lookAt = now + p.c.Rules.Slot
+	c.lookAt = now + e.slot
 	e.tick(now)
 	var f finding
 	if f = (finding{verdict: passes}); p.c.oracle == nil {
--- a/internal/stage/evidence.go
+++ b/internal/stage/evidence.go
@@ -94,11 +94,15 @@
 	// For the plan:
 	length, offered, served, used float64
 	rate, shown                   float64
+	quiet                         int // slots in a row without a window
 }
 
 // evidence is what the figures of all processes say of old against new. The conductor keeps it, and those who would follow it.
 type evidence struct {
 	rules    Rules
+	slot     int64 // how long a slot is now
+	asked    bool  // the figures come by message, in windows that may be longer than Rules.Warm
+	fresh    bool  // it has begun with this view
 	change   uint64
 	began    int64
 	slotEnd  int64
@@ -124,7 +128,15 @@
 }
 
 func newEvidence(r Rules, change uint64, now int64, d doctor) *evidence {
-	return &evidence{rules: r, change: change, began: now, slotEnd: now + r.Slot, subjects: map[string]*subject{}, stage: -1, doctor: d}
+	return &evidence{rules: r, slot: r.Slot, change: change, began: now, slotEnd: now + r.Slot, subjects: map[string]*subject{}, stage: -1, doctor: d}
+}
+
+// longSlot is the length of a slot where that hangs on how long windows are; else 0.
+func (e *evidence) longSlot() int64 {
+	if !e.asked {
+		return 0
+	}
+	return e.slot
 }
 
 // begin starts a stage's evidence anew, or goes on with that of the stage before it.
@@ -189,6 +201,9 @@
 		}
 		s.side, s.out, s.cells = is, true, nil
 	}
+	if n := len(m.Windows); e.fresh && e.asked && n > 0 {
+		s.last, s.seen = m.Windows[n-1].Number, true // they may be left from an earlier change, however long ago
+	}
 	for i := range m.Windows {
 		w := &m.Windows[i]
 		if s.seen && w.Number <= s.last || w.Length <= 0 {
@@ -207,6 +222,9 @@
 		if s.side == neither || first && i+1 < len(m.Windows) && s.side == newer {
 			continue
 		}
+		if e.asked && s.side == newer && now-w.Length < s.warm {
+			continue // it began before the process was warm, or had changed
+		}
 		e.window(now, s, w)
 	}
 }
@@ -259,7 +277,7 @@
 // close compares what each process showed in the slot with what the old ones of its zone did, class by class, and keeps the
 // excess. A trouble of the zone, or of all, is in both and falls out.
 func (e *evidence) close(now int64) {
-	e.slotEnd = now + e.rules.Slot
+	e.slotEnd = now + e.slot
 	if !e.edges {
 		e.learnWaits()
 	}
@@ -339,7 +357,8 @@
 				served = max(served, min(4*served, served*0.6/u))
 			}
 			s.shown = max(s.shown*0.995, served)
-		} else {
+			s.quiet = 0
+		} else if s.quiet++; !e.asked || s.quiet > 1 { // a window may be lost on its way
 			s.rate = 0
 		}
 		s.cells, s.length, s.offered, s.served, s.used = s.cells[:0], 0, 0, 0, 0
@@ -732,7 +751,8 @@
 	}
 	most := e.rules.Most
 	if e.stage == One {
-		most = min(most, 2*e.rules.Look) // one process tells of crashes and gross faults; the next stage of the rest
+		// One process tells of crashes and gross faults; the next stage of the rest.
+		most = min(most, max(2*e.rules.Look, (leastSlots+1)*e.longSlot()))
 	}
 	f := worst
 	switch {
--- a/internal/stage/part.go
+++ b/internal/stage/part.go
@@ -71,7 +71,7 @@
 	if p.watch.fence > p.fence || p.watch.fence == p.fence && p.watch.write > p.write {
 		p.fence, p.write = p.watch.fence, p.watch.write
 	}
-	p.gather(now, v)
+	p.gather(now, v, out)
 	p.conduct(now, out)
 	p.tell(out)
 }
