--- a/internal/aggregate/sender.go
+++ b/internal/aggregate/sender.go
@@ -45,6 +45,9 @@
 	holds  bool   // sum holds a base window
 	number uint64 // of the last window sent; 0: none yet
 	begun  int64
+	phase  float64 // of this process's turns, as a part of the length
+	due    int64   // when the sum is to be sent
+	dueFor int64   // the length that due was drawn for
 }
 
 // learn reads from a view who asks for figures.
@@ -132,7 +135,7 @@
 
 // begin is a new service, with the history that its subscriber has not been sent before.
 func (m *Module) begin(now int64, r *request) *service {
-	v := &service{request: r, begun: now}
+	v := &service{request: r, begun: now, phase: phase(m.cfg.Self, r.name, m.cfg.Seed)}
 	for i := range m.sender.history {
 		if w := &m.sender.history[i]; w.Number > r.sent {
 			m.add(v, w)
@@ -141,13 +144,13 @@
 	return v
 }
 
-// phase is when within a length one process sends its first window to another, so that not all answer at once.
-func phase(self, subscriber string, seed uint64, length int64) int64 {
+// phase is where between two windows, as a part of their length, one process sends to another, so that not all send at once.
+func phase(self, subscriber string, seed uint64) float64 {
 	d := xxhash.NewWithSeed(seed)
 	_, _ = d.WriteString(self)
 	_, _ = d.Write([]byte{0})
 	_, _ = d.WriteString(subscriber)
-	return int64(d.Sum64() % uint64(length))
+	return float64(d.Sum64()>>11) / (1 << 53)
 }
 
 // Window brings this process's own base window that has just ended, once a base second, and sends what is due.
@@ -164,19 +167,37 @@
 		if !v.holds || v.sum.Number < s.base { // one that has just begun has it from the history
 			m.add(v, &w)
 		}
-		if m.isDue(now, v, w.Length) {
+		if v.isDue(now) {
 			m.send(now, v, out)
 		}
 	}
 }
 
-// isDue tells whether the sum is long enough. Half a base window more or less is the same: base windows are not of one length
-// to the microsecond. The first window goes at the phase within the length as it is asked for now.
-func (m *Module) isDue(now int64, v *service, base int64) bool {
-	if v.number == 0 {
-		return now-v.begun >= phase(m.cfg.Self, v.name, m.cfg.Seed, v.length)
+// isDue tells whether the sum is to be sent. It is then as long as was asked for, to a base window; where the length has just
+// been changed, a sum of less than half of it waits for its next turn.
+func (v *service) isDue(now int64) bool {
+	if v.dueFor != v.length {
+		v.due = v.turn(now)
 	}
-	return v.sum.Length+base/2 >= v.length
+	if now < v.due {
+		return false
+	}
+	if v.number != 0 && v.sum.Length < v.length/2 {
+		v.due = v.turn(now)
+		return false
+	}
+	return true
+}
+
+// turn is the next time after now at which this process is to send: its phase in one of the lengths since the service began.
+// All senders' turns lie evenly over a length, also after it was changed.
+func (v *service) turn(now int64) int64 {
+	v.dueFor = v.length
+	first := v.begun + int64(v.phase*float64(v.length))
+	if now < first {
+		return first
+	}
+	return first + ((now-first)/v.length+1)*v.length
 }
 
 // send sends the sum, unless the budget refuses it. A sum of MaxGrowth lengths is sent without asking: it takes no more
@@ -192,7 +213,7 @@
 	if v.name == m.cfg.Self {
 		out.Heard = append(out.Heard, fleet.HeardWindow{Name: m.cfg.Self, Incarnation: s.incarnation, Window: window})
 		m.counts.heard++
-		m.sent(v, window.Number)
+		m.sent(now, v, window.Number)
 		return
 	}
 	bodies, shed := messages(s.incarnation, &window)
@@ -209,13 +230,14 @@
 	}
 	m.counts.shed += uint64(shed)
 	m.counts.sent++
-	m.sent(v, window.Number)
+	m.sent(now, v, window.Number)
 }
 
 // sent begins the next sum.
-func (m *Module) sent(v *service, number uint64) {
+func (m *Module) sent(now int64, v *service, number uint64) {
 	v.number, v.request.sent = number, m.sender.base
 	v.sum, v.holds = fleet.Window{}, false
+	v.due = v.turn(now)
 }
 
 // messageSize is what a message takes on its way.
--- a/internal/aggregate/subscriber.go
+++ b/internal/aggregate/subscriber.go
@@ -14,6 +14,8 @@
 	meanWindows = 64
 	// adaptEvery is the time between two changes of the length at least: each goes to all members.
 	adaptEvery = second
+	// longestSum bounds the length of a window that is taken in.
+	longestSum = 2 * MaxGrowth * MaxLength
 	// maxPending bounds the bytes of windows of which not all pieces have come, of all members together.
 	maxPending = 4 << 20
 )
@@ -127,7 +129,11 @@
 	if window == nil {
 		return
 	}
-	source.number = p.Number
+	source.number, window.Number = p.Number, p.Number
+	if window.Length <= 0 || window.Length > longestSum {
+		m.counts.bad++
+		return
+	}
 	m.counts.heard++
 	m.measure(size)
 	out.Heard = append(out.Heard, fleet.HeardWindow{Name: msg.From, Incarnation: p.Incarnation, Window: *window})
