Tell some others at once what waits when a process leaves

Need: TestFleetOfProcesses failed once (its end did not come): the last word of a process, that it leaves, waited for the next round of gossip, and none came. Change: Leave sends what waits before it says goodbye.

--- a/internal/fleetnet/gossip.go
+++ b/internal/fleetnet/gossip.go
@@ -16,6 +16,8 @@
 	codedUpdate = 'u'
 	// itemOverhead is what an item takes beside its own bytes: the head of a byte string.
 	itemOverhead = 3
+	// flushNodes is how many are told at once by a process that leaves.
+	flushNodes = 2 * gossipNodes
 	// maxItems is as many as a datagram's array may have.
 	maxItems = 60
 )
@@ -124,6 +126,16 @@
 	}
 }
 
+// flush tells some others at once what waits to be gossiped: there may be no further round.
+func (n *member) flush() {
+	rng := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 3)) // who is told decides nothing
+	for _, to := range n.some(rng, flushNodes) {
+		if !n.tell(to) {
+			return
+		}
+	}
+}
+
 // some draws a few of those that the membership sees; nobody where there is nothing to tell.
 func (n *member) some(rng *rand.Rand, count int) []string {
 	n.mu.Lock()
--- a/internal/fleetnet/net.go
+++ b/internal/fleetnet/net.go
@@ -236,7 +236,10 @@
 	n.budget.figures(put)
 }
 
-func (n *member) Leave() { _ = n.list.Leave(leaveWithin) } // who has not heard it finds out
+func (n *member) Leave() {
+	n.flush()
+	_ = n.list.Leave(leaveWithin) // who has not heard it finds out
+}
 
 func (n *member) Close() {
 	select {
--- a/internal/fleetnet/net_test.go
+++ b/internal/fleetnet/net_test.go
@@ -361,12 +361,19 @@
 	}
 }
 
-// Updates pass in one datagram with entries; who has others than this process is told by its answer to a probe.
-func TestUpdatesAndDigests(t *testing.T) {
+// pair opens two members that see each other.
+func pair(t *testing.T) (a, b *box) {
+	t.Helper()
 	atA, atB := free(t), free(t)
-	a := open(t, Config{Cluster: "one", Self: "a", Bind: atA, Reach: atA, Names: map[string]netip.AddrPort{"b": atB}})
-	b := open(t, Config{Cluster: "one", Self: "b", Bind: atB, Reach: atB, Names: map[string]netip.AddrPort{"a": atA}})
+	a = open(t, Config{Cluster: "one", Self: "a", Bind: atA, Reach: atA, Names: map[string]netip.AddrPort{"b": atB}})
+	b = open(t, Config{Cluster: "one", Self: "b", Bind: atB, Reach: atB, Names: map[string]netip.AddrPort{"a": atA}})
 	until(t, "a meeting", func() bool { return a.Seen() == 1 && b.Seen() == 1 })
+	return a, b
+}
+
+// Updates pass in one datagram with entries, and what is spread just before a leaving still goes out.
+func TestUpdatesPass(t *testing.T) {
+	a, b := pair(t)
 	a.Spread("x", fleet.Coded{Entry: []byte("entry of x")})
 	a.Spread("y", fleet.Coded{Entry: []byte("entry of y"), Update: []byte("update of y")})
 	until(t, "an entry and an update", b.has(func() bool { return b.entries["entry of x"] > 0 && b.updates["update of y"] > 0 }))
@@ -377,8 +384,24 @@
 		t.Error(err)
 	}
 	until(t, "what was passed", b.has(func() bool { return b.entries["entry of z"] > 0 && b.updates["update of z"] > 0 }))
+	b.Spread("w", fleet.Coded{Entry: []byte("entry of w")})
+	b.Leave()
+	if got := figure(b, "fleet_gossip_sent"); got == 0 {
+		t.Error("what was spread just before the leaving did not go out")
+	}
+	until(t, "what was spread just before the leaving", a.has(func() bool { return a.entries["entry of w"] > 0 }))
+}
+
+// Who has others than this process is told by its answer to a probe.
+func TestDigestsComeWithProbes(t *testing.T) {
+	a, b := pair(t)
 	a.Root(77)
 	until(t, "another digest", b.has(func() bool { return b.roots["a"] == 77 }))
+}
+
+// Members of the version before read one whole entry in a datagram.
+func TestOlderMembersReadWholeEntries(t *testing.T) {
+	a, b := pair(t)
 	a.Older(true)
 	a.Spread("v", fleet.Coded{Entry: []byte("entry of v"), Update: []byte("update of v")})
 	until(t, "an entry as the version before reads it", b.has(func() bool { return b.entries["entry of v"] > 0 }))
--- a/internal/member/oncall_test.go
+++ b/internal/member/oncall_test.go
@@ -12,6 +12,8 @@
 
 	"pewterwheel/internal/advice"
 	"pewterwheel/internal/agent"
+	"pewterwheel/internal/aggregate"
+	"pewterwheel/internal/dissemination"
 	"pewterwheel/internal/fleet"
 	"pewterwheel/internal/fleetnet"
 	"pewterwheel/internal/keeper"
@@ -26,7 +28,7 @@
 func TestOnCallListsErrors(t *testing.T) {
 	const page, begin, end = "../../docs/ON-CALL.md", "<!-- errors -->\n", "<!-- end of errors -->\n"
 	want := "| error | what to do |\n| --- | --- |\n"
-	for _, list := range [][]advice.Advised{agent.Errors, fleet.Errors, fleetnet.Errors, keeper.Errors, lease.Errors, Errors, pooling.Errors, stage.Errors} {
+	for _, list := range [][]advice.Advised{agent.Errors, aggregate.Errors, dissemination.Errors, fleet.Errors, fleetnet.Errors, keeper.Errors, lease.Errors, Errors, pooling.Errors, stage.Errors} {
 		for _, e := range list {
 			say := e.Advice()
 			if !strings.HasSuffix(say, ".") || advice.Of(fmt.Errorf("wrapped: %w", e)) != say {
