--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -4,22 +4,12 @@
 package agent
 
 import (
-	"fmt"
 	"log/slog"
-	"maps"
-	"math"
 	"net/netip"
-	"os"
-	"runtime"
-	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"pewterwheel/internal/advice"
 	"pewterwheel/internal/dissemination"
 	"pewterwheel/internal/failpoint"
@@ -27,34 +17,6 @@
 	"pewterwheel/internal/fleetnet"
 )
 
-// Config is what an agent is made from.
-type Config struct {
-	Self, Zone, Program string
-	Settings            uint64 // digest of the settings it goes by
-	Roster              uint64 // number of the roster it knows
-	Net                 fleetnet.Net
-	Views               *fleet.ViewHolder // nil: one of its own
-	// Make makes the parts, one of a kind at the most, for a life of this number. They are made when the process has had time to
-	// hear of an earlier life of its own, whose clock may have been ahead; and anew, knowing nothing, if it hears of one later.
-	Make  func(life uint64) []fleet.Module
-	First map[fleet.Kind][]byte // parts of the own entry until the modules tell theirs
-	Wake  <-chan struct{}       // asks for a Tick of all parts before it is due; nil: nothing does
-	// Do carries out an act; it may take its time, on a goroutine of the agent's. What came of it goes to Part.Done. nil: every
-	// act fails with an *ActError.
-	Do  func(fleet.Act) error
-	Log *slog.Logger
-	// Clock is the machine's monotonic time in microseconds; nil: that.
-	Clock func() int64
-	// Wall is a wall clock in microseconds, for the number of this life. It may be wrong; nil: the machine's.
-	Wall func() int64
-	// Window gives the figures of the calls since it was last asked; nil: there are none.
-	Window func() fleet.Window
-	Length int64 // of a window; 0: a second
-
-	Queue         int   // posted observations that wait at the most; 0: 1024
-	Stale, Absent int64 // as of fleet.Registry
-}
-
 const (
 	defaultLength = 1_000_000
 	// startDelay is how long parts are not made after the start.
@@ -74,47 +36,6 @@
 	stopWithin = 2 * time.Second
 )
 
-// ActError is an act that was not carried out.
-type ActError struct {
-	What string
-	Why  string
-}
-
-func (e *ActError) Error() string { return fmt.Sprintf("agent: %s was not done: %s", e.What, e.Why) }
-
-// Advice says what an operator can do.
-func (e *ActError) Advice() string {
-	return "The change that asked for it says what follows; if it asks again and again, end the change by taking [change] out and reloading."
-}
-
-// ClockError is a machine clock that cannot be read.
-type ClockError struct{ Err error }
-
-func (e *ClockError) Error() string { return "agent: monotonic clock: " + e.Err.Error() }
-func (e *ClockError) Unwrap() error { return e.Err }
-
-// Advice says what an operator can do.
-func (e *ClockError) Advice() string {
-	return "Look what keeps the process from clock_gettime, as a filter of system calls; without a clock it must not join a fleet."
-}
-
-// Errors are all errors of this package, for the operators' page.
-var Errors = []advice.Advised{&ActError{}, &ClockError{}}
-
-// Monotonic is the machine's monotonic time in microseconds: the same for all processes of one machine.
-func Monotonic() int64 {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &t); err != nil {
-		panic(&ClockError{err})
-	}
-	return t.Nano() / 1000
-}
-
-type ended struct {
-	act fleet.Act
-	err error
-}
-
 // Agent is one process's agent.
 type Agent struct {
 	cfg      Config
@@ -150,46 +71,6 @@
 	dropped, refused, notes, viewsMade atomic.Uint64
 }
 
-// New returns an agent. Run starts it.
-func New(cfg Config) *Agent {
-	if cfg.Clock == nil {
-		cfg.Clock = Monotonic
-	}
-	if failpoint.Enabled {
-		cfg.Clock = rated(cfg.Clock)
-	}
-	if cfg.Wall == nil {
-		cfg.Wall = func() int64 { return time.Now().UnixMicro() }
-	}
-	if cfg.Length == 0 {
-		cfg.Length = defaultLength
-	}
-	if cfg.Queue == 0 {
-		cfg.Queue = defaultQueue
-	}
-	if cfg.Views == nil {
-		cfg.Views = &fleet.ViewHolder{}
-	}
-	if cfg.Log == nil {
-		cfg.Log = slog.New(slog.DiscardHandler)
-	}
-	if cfg.Do == nil {
-		cfg.Do = func(act fleet.Act) error { return &ActError{act.What, "nothing here does it"} }
-	}
-	a := &Agent{cfg: cfg, views: cfg.Views, log: cfg.Log, posted: make(chan func(int64, *fleet.Out), cfg.Queue),
-		acts: make(chan ended, maxActs), states: make(chan fleet.State, 8), stop: make(chan struct{}), over: make(chan struct{}), slots: make(chan struct{}, maxActs), metrics: newMetrics()}
-	life := uint64(max(1, cfg.Wall()))
-	a.registry = fleet.NewRegistry(fleet.Entry{Name: cfg.Self, Incarnation: life, Zone: cfg.Zone, Program: cfg.Program,
-		Settings: cfg.Settings, Roster: cfg.Roster, Protocol: fleet.ProtocolHeads, State: fleet.Starting, Parts: cfg.First})
-	a.registry.Heads = true
-	a.repair = dissemination.NewRepair(dissemination.RepairConfig{Self: cfg.Self, Seed: life}, a.registry)
-	a.registry.Stale, a.registry.Absent = cfg.Stale, cfg.Absent
-	if failpoint.On("gone-is-left") {
-		a.registry.Absent = 1
-	}
-	return a
-}
-
 // Views is where the newest view stands.
 func (a *Agent) Views() *fleet.ViewHolder { return a.views }
 
@@ -436,33 +317,6 @@
 	}
 }
 
-func (a *Agent) deliver(m fleet.Message) {
-	if m.Kind == fleet.Repair {
-		a.repair.Message(a.now, m, &a.out)
-		return
-	}
-	for _, p := range a.parts {
-		if p.Kind() == m.Kind {
-			p.Message(a.now, m, &a.out)
-			return
-		}
-	}
-	a.refused.Add(1)
-}
-
-func (a *Agent) done(e ended) {
-	if e.err != nil {
-		a.log.Warn("act failed", "what", e.act.What, "number", e.act.Number, "error", e.err, advice.Attr(e.err))
-	}
-	for _, p := range a.parts {
-		if p.Kind() == e.act.Kind {
-			p.Done(a.now, e.act, e.err, &a.out)
-			a.carry()
-			return
-		}
-	}
-}
-
 func (a *Agent) state(s fleet.State) {
 	if a.registry.Own().State >= s {
 		return // lives do not run backwards
@@ -472,146 +326,6 @@
 	a.log.Info("fleet", "self", a.cfg.Self, "state", uint8(s))
 }
 
-// carry does what a part wants done, in order, and what comes of it within this process.
-func (a *Agent) carry() {
-	for range maxLocal {
-		out := a.out
-		a.out = fleet.Out{}
-		for _, n := range out.Notes {
-			a.note(n)
-		}
-		for _, k := range slices.Sorted(maps.Keys(out.Parts)) {
-			a.keep(k, out.Parts[k])
-		}
-		for _, m := range out.Send {
-			m.From = a.cfg.Self
-			if m.To == a.cfg.Self {
-				a.local = append(a.local, m)
-				continue
-			}
-			if err := a.cfg.Net.Send(m); err != nil {
-				a.log.Debug("message not sent", "to", m.To, "kind", m.Kind, "error", err, advice.Attr(err))
-			}
-		}
-		for _, act := range out.Acts {
-			a.act(act)
-		}
-		for _, heard := range out.Heard {
-			a.registry.AddWindow(heard)
-		}
-		for _, p := range out.Pass {
-			a.pass(p)
-		}
-		if len(a.local) == 0 {
-			return
-		}
-		m := a.local[0]
-		if a.local = a.local[1:]; len(a.local) == 0 {
-			a.local = nil
-		}
-		a.deliver(m)
-	}
-	a.log.Error("parts of one process go on telling each other", "waiting", len(a.local))
-	a.refused.Add(uint64(len(a.local)))
-	a.local, a.out = nil, fleet.Out{} // else the next round would go on with it
-}
-
-// pass sends one process what is known of another.
-func (a *Agent) pass(p fleet.PassedEntry) {
-	known, ok := a.registry.Coded(p.Name)
-	if !ok {
-		return
-	}
-	if err := a.cfg.Net.Pass(p.To, known); err != nil {
-		a.log.Debug("message not sent", "to", p.To, "kind", fleet.Repair, "error", err, advice.Attr(err))
-	}
-}
-
-// keep puts a part's own contents into the process's entry, to be told soon.
-func (a *Agent) keep(k fleet.Kind, body []byte) {
-	if len(body) > fleet.MaxBody {
-		a.refused.Add(1)
-		return
-	}
-	a.pending = append(a.pending, func(e *fleet.Entry) {
-		if e.Parts == nil {
-			e.Parts = map[fleet.Kind][]byte{}
-		}
-		e.Parts[k] = body
-	})
-}
-
-// act starts an act on a goroutine of its own. Its end comes back through a channel with room for all that run.
-func (a *Agent) act(act fleet.Act) {
-	select {
-	case a.slots <- struct{}{}:
-	default:
-		a.refused.Add(1)
-		a.failed = append(a.failed, ended{act, &ActError{act.What, "too many run"}})
-		return
-	}
-	a.doing.Go(func() {
-		a.acts <- ended{act, a.cfg.Do(act)} // there is room for all that have a slot
-	})
-}
-
-// note logs a part's note with the machine's time, so that the logs of several processes can be laid side by side.
-func (a *Agent) note(n fleet.Note) {
-	a.notes.Add(1)
-	mono, until := Monotonic(), int64(0)
-	if n.Until != 0 {
-		until = mono + n.Until - a.cfg.Clock()
-	}
-	a.log.Debug("noted", "kind", uint8(n.Kind), "what", n.What, "thing", n.Thing, "fence", n.Fence, "until", until, "n", n.N, "text", n.Text,
-		"self", a.cfg.Self, "mono", mono)
-}
-
-// window ends a window of figures. The modules that pass it to who asks are given it; it stands in the own entry as others
-// are told it only while some of them read whole entries alone.
-func (a *Agent) window() {
-	w := fleet.Window{}
-	if a.cfg.Window != nil {
-		w = a.cfg.Window()
-	}
-	cpu := processor()
-	w.Number, w.Length, w.CPU, w.Memory = a.number(), a.now-a.begun, cpu-a.cpu, resident()
-	a.cpu, a.begun = cpu, a.now
-	if a.windows = append(a.windows, w); len(a.windows) > fleet.MaxWindows {
-		a.windows = slices.Clone(a.windows[1:])
-	}
-	a.registry.SetWindows(a.windows)
-	for _, p := range a.parts {
-		if taker, ok := p.(windowTaker); ok {
-			taker.Window(a.now, w, &a.out)
-			a.carry()
-		}
-	}
-	if !a.registry.Heads {
-		a.tell()
-	}
-	a.snapshot()
-}
-
-// windowTaker is a module that is given the process's own windows.
-type windowTaker interface {
-	Window(now int64, w fleet.Window, out *fleet.Out)
-}
-
-// length is that of a window: longer in a large fleet where windows spread to all.
-func (a *Agent) length() int64 {
-	if a.registry.Heads {
-		return a.cfg.Length
-	}
-	return a.cfg.Length * a.registry.IntervalFactor()
-}
-
-func (a *Agent) number() uint64 {
-	if n := len(a.windows); n > 0 {
-		return a.windows[n-1].Number + 1
-	}
-	return 1
-}
-
 // tell makes the changes of the own entry that wait, and spreads it.
 func (a *Agent) tell() {
 	changes := a.pending
@@ -638,80 +352,3 @@
 		a.log.Warn("acts still run at the end")
 	}
 }
-
-// snapshot puts the figures of all parts where others may read them.
-func (a *Agent) snapshot() {
-	var fs []figure
-	put := func(name string, n uint64, gauge bool) { fs = append(fs, figure{name, n, gauge}) }
-	v := a.views.Read()
-	members, suspected := 0, 0
-	if v != nil {
-		for i := range v.Members {
-			if members++; v.Members[i].Suspect {
-				suspected++
-			}
-		}
-	}
-	c := &a.registry.Counts
-	size, known := a.registry.Size()
-	put("fleet_members", uint64(members), true)
-	put("fleet_suspected", uint64(suspected), true)
-	put("fleet_known", uint64(known), true)
-	put("fleet_bytes_kept", uint64(size), true)
-	put("fleet_state", uint64(a.registry.Own().State), true)
-	put("fleet_roster", a.registry.Own().Roster, true)
-	put("fleet_entries", c.Entries, false)
-	put("fleet_entries_old", c.Old, false)
-	put("fleet_entries_garbage", c.Garbage, false)
-	put("fleet_entries_full", c.Full, false)
-	put("fleet_entries_over", c.Over, false)
-	put("fleet_lives_raised", c.Raised, false)
-	put("fleet_updates", c.Updates, false)
-	put("fleet_update_gaps", c.Gaps, false)
-	put("fleet_windows_heard", c.Windows, false)
-	put("fleet_older_members", uint64(a.registry.Older()), true)
-	put("fleet_views", a.viewsMade.Load(), false)
-	put("fleet_notes", a.notes.Load(), false)
-	put("fleet_posts_dropped", a.dropped.Load(), false)
-	put("fleet_refused", a.refused.Load(), false)
-	a.cfg.Net.Figures(put)
-	a.repair.Figures(put)
-	for _, p := range a.parts {
-		p.Figures(put)
-	}
-	if err := a.metrics.set(fs); err != nil {
-		a.log.Error("figures stay as they were", "error", err)
-	}
-}
-
-// Figures gives the figures as they were at the end of the last window. Any goroutine may ask.
-func (a *Agent) Figures(put func(name string, n uint64, gauge bool)) {
-	if failpoint.On("figures-wait") {
-		time.Sleep(1500 * time.Millisecond)
-	}
-	for _, f := range a.metrics.gathered() {
-		put(f.name, f.n, f.gauge)
-	}
-}
-
-// processor is the processor time that this process has used, in microseconds.
-func processor() int64 {
-	var u unix.Rusage
-	if unix.Getrusage(unix.RUSAGE_SELF, &u) != nil {
-		return 0
-	}
-	return (u.Utime.Nano() + u.Stime.Nano()) / 1000
-}
-
-// resident is how many bytes of this process are in memory.
-func resident() int64 {
-	text, err := os.ReadFile("/proc/self/statm")
-	if fields := strings.Fields(string(text)); err == nil && len(fields) > 1 {
-		if n, err := strconv.ParseInt(fields[1], 10, 64); err == nil {
-			return n * int64(os.Getpagesize())
-		}
-	}
-	var m runtime.MemStats // a stop of the world, where there is no /proc
-	runtime.ReadMemStats(&m)
-	return int64(min(m.Sys, math.MaxInt64))
-}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"bytes"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -79,6 +80,7 @@
 	seq    uint64
 	local  []body // messages to itself
 	hints  map[string]hint
+	parts  map[string]readPart // of the newest view, by member
 	toldAt told
 	retell bool
 	counts counts
@@ -312,13 +314,19 @@
 func (p *Part) View(now int64, v *fleet.View, out *fleet.Out) {
 	p.at(now)
 	p.hints = make(map[string]hint, len(p.hints))
+	parts := make(map[string]readPart, len(v.Members))
 	for i := range v.Members {
 		m := &v.Members[i]
 		raw := m.Parts[fleet.Lease]
 		if raw == nil || m.Name == p.cfg.Self {
 			continue
 		}
-		t := readTold(raw)
+		read := p.parts[m.Name]
+		if !bytes.Equal(read.raw, raw) {
+			read = readPart{raw, readTold(raw)}
+		}
+		parts[m.Name] = read
+		t := read.told
 		p.heardFence(t.High)
 		p.floor = max(p.floor, min(t.High, maxNumber>>1))
 		for _, h := range t.Held {
@@ -327,9 +335,16 @@
 			}
 		}
 	}
+	p.parts = parts
 	p.end(out)
 }
 
+// readPart is a member's part of its entry as it was read: views come often, and most members' parts are as they were.
+type readPart struct {
+	raw  []byte
+	told told
+}
+
 // Done has nothing to do: leases ask for no acts.
 func (p *Part) Done(int64, fleet.Act, error, *fleet.Out) {}
 
