--- a/internal/dissemination/budget.go
+++ b/internal/dissemination/budget.go
@@ -1,8 +1,8 @@
-// Package dissemination decides how what the members of a fleet tell one another spreads: Budget, which traffic may pass
-// within so many bytes a second; Queue, what is gossiped next; Repair, how members find and mend what gossip has missed.
-// It has no clock, goroutine, socket or log, and no randomness but from seeds: times are microseconds of a monotonic
-// clock that its callers pass in, and the same calls always give the same answers. Nothing here may be called from two
-// goroutines at once.
+// Package dissemination decides how what the members of a fleet tell one another spreads: Budget, which traffic may
+// pass within so many bytes a second; Queue, what is gossiped next; Repair, how members find and mend what gossip has
+// missed. It has no clock, goroutine, socket or log, and no randomness but from seeds: times are microseconds of a
+// monotonic clock that its callers pass in, and the same calls always give the same answers. Nothing here may be
+// called from two goroutines at once.
 package dissemination
 
 import "math"
@@ -75,12 +75,12 @@
 	maxBurst  = 1 << 26 // microseconds, some 67 s
 )
 
-// BudgetConfig says how much control traffic a member may have, both directions and both transports together. A value of
-// 0 or less stands for its default.
+// BudgetConfig says how much control traffic a member may have, both directions and both transports together. A value
+// of 0 or less stands for its default.
 type BudgetConfig struct {
 	Rate int64 // bytes a second that are held in the long run; DefaultRate
-	// Factor: in no second more than Factor x Rate bytes are allowed; DefaultFactor. A larger message never is, and with a
-	// Factor of 1 a sixteenth of the rate stays unused.
+	// Factor: in no second more than Factor x Rate bytes are allowed; DefaultFactor. A larger message never is, and
+	// with a Factor of 1 a sixteenth of the rate stays unused.
 	Factor int64
 	Burst  int64 // microseconds for which Factor x Rate may be spent after a quiet time; DefaultBurst
 }
@@ -100,11 +100,13 @@
 	return min(value, highest)
 }
 
-// second is one second in microseconds. The sustained balance is kept in bytes times this, so that no fraction is lost.
+// second is one second in microseconds. The sustained balance is kept in bytes times this, so that no fraction is
+// lost.
 const second = 1_000_000
 
-// Budget is the one account of all control traffic of a member. Two limits hold for what may be refused: a token bucket
-// of Factor x Rate x Burst bytes, refilled by Rate, for the long run, and a sliding window of a second for the peak.
+// Budget is the one account of all control traffic of a member. Two limits hold for what may be refused: a token
+// bucket of Factor x Rate x Burst bytes, refilled by Rate, for the long run, and a sliding window of a second for the
+// peak.
 type Budget struct {
 	config    BudgetConfig
 	depth     int64 // of the sustained balance, in bytes x second
@@ -135,12 +137,13 @@
 	}
 }
 
-// Lift sets whether everything is allowed; it is charged and counted all the same. It is for the time in which members of
-// a version that knows no budget are heard.
+// Lift sets whether everything is allowed; it is charged and counted all the same. It is for the time in which members
+// of a version that knows no budget are heard.
 func (b *Budget) Lift(lifted bool) { b.lifted = lifted }
 
-// Allow tells whether a message of so many bytes may be sent now. It spends nothing; a refusal is counted. Membership is
-// always allowed; Settings while something of both limits is left after it; Figures while it leaves more than half of both.
+// Allow tells whether a message of so many bytes may be sent now. It spends nothing; a refusal is counted. Membership
+// is always allowed; Settings while something of both limits is left after it; Figures while it leaves more than half
+// of both.
 func (b *Budget) Allow(now int64, class Class, bytes int) bool {
 	b.advance(now)
 	if b.lifted || class == Membership || b.leaves(class, int64(max(0, bytes))) {
@@ -163,8 +166,8 @@
 	return b.balance-b.cost(bytes) > sustainedReserve && b.peak.left()-min(bytes, b.peak.limit) > peakReserve
 }
 
-// Spend charges what passed, also what came in and could not be refused. A debt never grows over the depth of the bucket,
-// so that a flood coming in doesn't mute a member for longer than Factor x Burst.
+// Spend charges what passed, also what came in and could not be refused. A debt never grows over the depth of the
+// bucket, so that a flood coming in doesn't mute a member for longer than Factor x Burst.
 func (b *Budget) Spend(now int64, class Class, direction Direction, bytes int) {
 	b.advance(now)
 	bytes = max(0, bytes)
@@ -190,7 +193,8 @@
 	return bytes * second
 }
 
-// advance refills both limits for the time since the latest call. A clock that stands still or steps back refills nothing.
+// advance refills both limits for the time since the latest call. A clock that stands still or steps back refills
+// nothing.
 func (b *Budget) advance(now int64) {
 	if !b.started {
 		b.started = true
@@ -211,7 +215,8 @@
 	b.balance += int64(elapsed) * b.config.Rate
 }
 
-// Figures gives the counters by class, how often the sustained balance was exhausted, and how many bytes of it are left.
+// Figures gives the counters by class, how often the sustained balance was exhausted, and how many bytes of it are
+// left.
 func (b *Budget) Figures(put func(name string, n uint64, gauge bool)) {
 	for class := Membership; class <= Figures; class++ {
 		counts := b.classes[class.index()]
@@ -234,8 +239,8 @@
 // slotLength is the length of a slot, in microseconds.
 const slotLength = second / windowSlots
 
-// window counts the bytes of the last second, and of up to a slot more. A token bucket that holds a second's worth would
-// let twice that pass within a second.
+// window counts the bytes of the last second, and of up to a slot more. A token bucket that holds a second's worth
+// would let twice that pass within a second.
 type window struct {
 	limit  int64                  // bytes
 	slots  [windowSlots + 1]int64 // bytes; a second touches one more slot than it is long
--- a/internal/dissemination/budget_test.go
+++ b/internal/dissemination/budget_test.go
@@ -117,8 +117,8 @@
 	}
 }
 
-// Whatever passes between, what was allowed stays within the limits; membership is always allowed; whenever figures are
-// allowed settings would be, too.
+// Whatever passes between, what was allowed stays within the limits; membership is always allowed; whenever figures
+// are allowed settings would be, too.
 func TestBudgetProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		config := BudgetConfig{
--- a/internal/dissemination/queue.go
+++ b/internal/dissemination/queue.go
@@ -13,8 +13,9 @@
 // Crowded is how many items may wait in a Queue before those go that were sent half as often as Multiplier asks for.
 const Crowded = 64
 
-// Queue holds what is to be gossiped, one item a name. Items wait in one list for each number of transmissions, ordered by
-// when they were put: so a new one is appended, and the next one to be sent is the last of the first list that has any.
+// Queue holds what is to be gossiped, one item a name. Items wait in one list for each number of transmissions,
+// ordered by when they were put: so a new one is appended, and the next one to be sent is the last of the first list
+// that has any.
 type Queue struct {
 	items  map[string]*item
 	levels [][]*item // by transmissions; each in order of put
@@ -48,8 +49,8 @@
 func (q *Queue) Waiting() int { return q.bytes }
 
 // Put adds a body to be gossiped under a name, in place of what waited under it; it starts anew. The body is kept, not
-// copied: nobody may write to it again. An empty body only takes out what waited. Where fleet.MaxMembers names wait, the
-// one that was sent most often makes room.
+// copied: nobody may write to it again. An empty body only takes out what waited. Where fleet.MaxMembers names wait,
+// the one that was sent most often makes room.
 func (q *Queue) Put(name string, body []byte) {
 	if old := q.items[name]; old != nil {
 		q.remove(old)
@@ -78,10 +79,11 @@
 	}
 }
 
-// Fill returns the bodies for one datagram of at most limit bytes, in which each takes its length and overhead. Those sent
-// least often come first and, among equals, those put last; what does not fit into the rest of the datagram is passed
-// over. The very first is always among them: one that is larger than limit is returned alone. Each body returned has been
-// sent once more thereby. members is how many members the fleet has. nil: nothing waits, or limit is not positive.
+// Fill returns the bodies for one datagram of at most limit bytes, in which each takes its length and overhead. Those
+// sent least often come first and, among equals, those put last; what does not fit into the rest of the datagram is
+// passed over. The very first is always among them: one that is larger than limit is returned alone. Each body
+// returned has been sent once more thereby. members is how many members the fleet has. nil: nothing waits, or limit is
+// not positive.
 func (q *Queue) Fill(limit, overhead, members int) [][]byte {
 	q.shed(members)
 	if limit <= 0 || len(q.items) == 0 {
@@ -130,8 +132,8 @@
 	q.insert(chosen)
 }
 
-// shed takes out what was sent often enough: as often as Multiplier asks for, as the fleet may have become smaller, and
-// while the queue is crowded, half as often. Repair heals what these would have reached.
+// shed takes out what was sent often enough: as often as Multiplier asks for, as the fleet may have become smaller,
+// and while the queue is crowded, half as often. Repair heals what these would have reached.
 func (q *Queue) shed(members int) {
 	once := log10Ceil(members)
 	for transmissions := len(q.levels) - 1; transmissions >= once; transmissions-- {
--- a/internal/dissemination/queue_test.go
+++ b/internal/dissemination/queue_test.go
@@ -204,7 +204,8 @@
 	}
 }
 
-// No more than fleet.MaxMembers names wait: a new one takes the place of the one sent most often, the oldest among equals.
+// No more than fleet.MaxMembers names wait: a new one takes the place of the one sent most often, the oldest among
+// equals.
 func TestQueueIsBounded(t *testing.T) {
 	q := NewQueue()
 	for i := range fleet.MaxMembers {
--- a/internal/dissemination/repair.go
+++ b/internal/dissemination/repair.go
@@ -23,7 +23,8 @@
 
 // Registry is what Repair asks of the registry of entries.
 type Registry interface {
-	// Digest returns a digest of the names, incarnations and versions of all entries, and one for each bucket of names.
+	// Digest returns a digest of the names, incarnations and versions of all entries, and one for each bucket of
+	// names.
 	Digest() (root uint64, buckets [fleet.DigestBuckets]uint32)
 	// Versions gives the version of each entry whose name is in a bucket.
 	Versions(bucket int, put func(fleet.Version))
@@ -38,10 +39,11 @@
 	Seed     uint64 // of the order of buckets and the jitter; another one in each process
 }
 
-// Repair finds and mends what gossip has missed. Whoever hears a root digest that is not its own sends the peer the digests
-// of its buckets (an ask) and is answered with the versions of the entries in buckets that differ, as many as fit a message.
-// It then asks for the entries that are newer there (a want) and has those that are newer here passed to the peer. Entries
-// themselves go by fleet.Out.Pass. Lost messages need no care: the next root that differs begins anew.
+// Repair finds and mends what gossip has missed. Whoever hears a root digest that is not its own sends the peer the
+// digests of its buckets (an ask) and is answered with the versions of the entries in buckets that differ, as many as
+// fit a message. It then asks for the entries that are newer there (a want) and has those that are newer here passed
+// to the peer. Entries themselves go by fleet.Out.Pass. Lost messages need no care: the next root that differs begins
+// anew.
 type Repair struct {
 	config   RepairConfig
 	registry Registry
@@ -68,8 +70,8 @@
 	}
 }
 
-// Root brings the root digest that came with a peer's acknowledgement of a probe. If it differs from this process's own,
-// the peer is asked, unless somebody was asked within AskEvery.
+// Root brings the root digest that came with a peer's acknowledgement of a probe. If it differs from this process's
+// own, the peer is asked, unless somebody was asked within AskEvery.
 func (r *Repair) Root(now int64, from string, root uint64, out *fleet.Out) {
 	if now < r.nextAsk || !nameFits(from) || from == r.config.Self {
 		return
@@ -125,9 +127,9 @@
 	r.send(peer, r.list(differ), out)
 }
 
-// list writes the versions in the given buckets, from one of them on that is chosen at random, until a message is full. A
-// bucket is listed whole, and marked as covered, or not at all; but of a first one that is larger than a message, a part is
-// listed that is chosen at random, too.
+// list writes the versions in the given buckets, from one of them on that is chosen at random, until a message is
+// full. A bucket is listed whole, and marked as covered, or not at all; but of a first one that is larger than a
+// message, a part is listed that is chosen at random, too.
 func (r *Repair) list(buckets uint64) *repairMessage {
 	answer := &repairMessage{Type: typeVersions}
 	left := fleet.MaxBody - listFrame
@@ -184,8 +186,8 @@
 	}
 }
 
-// compare takes a peer's answer: what is newer there is asked for, and what is newer here, or in a covered bucket and not
-// there at all, is passed to the peer.
+// compare takes a peer's answer: what is newer there is asked for, and what is newer here, or in a covered bucket and
+// not there at all, is passed to the peer.
 func (r *Repair) compare(peer string, m *repairMessage, out *fleet.Out) {
 	if peer != r.asked {
 		r.counts.unasked++
--- a/internal/dissemination/repair_test.go
+++ b/internal/dissemination/repair_test.go
@@ -122,7 +122,8 @@
 	}
 }
 
-// fill gives each side so many entries, of which a share in a hundred differs: it is missing on one side, or older there.
+// fill gives each side so many entries, of which a share in a hundred differs: it is missing on one side, or older
+// there.
 func (p *pair) fill(random *rand.Rand, entries, share int, suffix string) {
 	for i := range entries {
 		v := fleet.Version{Name: fmt.Sprint(i, suffix), Incarnation: maxNumber - 5, Version: 1 + random.Uint64N(3)}
