--- a/internal/dissemination/budget_test.go
+++ b/internal/dissemination/budget_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/big"
 	"math/rand/v2"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -64,7 +65,11 @@
 
 // Who always has something to send gets the rate in the long run, and never more than the limits.
 func TestBudgetHoldsRate(t *testing.T) {
-	for _, config := range []BudgetConfig{{}, {Rate: 2_000, Factor: 3, Burst: 4 * second}, {Rate: 50_000, Factor: 2, Burst: second}} {
+	for _, config := range []BudgetConfig{
+		{},
+		{Rate: 2_000, Factor: 3, Burst: 4 * second},
+		{Rate: 50_000, Factor: 2, Burst: second},
+	} {
 		b := NewBudget(config)
 		random := rand.New(rand.NewPCG(1, 2))
 		var trace []passed
@@ -169,7 +174,12 @@
 func TestBudgetIsExact(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		any64 := rapid.OneOf(rapid.Int64(), rapid.SampledFrom([]int64{math.MaxInt64, math.MinInt64, 0}))
-		config := BudgetConfig{Rate: any64.Draw(t, "rate"), Factor: any64.Draw(t, "factor"), Burst: any64.Draw(t, "burst")}
+		config := BudgetConfig{
+			Rate:   any64.Draw(t, "rate"),
+			Factor: any64.Draw(t, "factor"),
+			Burst:  any64.Draw(t, "burst"),
+		}
+		anySize := rapid.OneOf(rapid.Int64(), rapid.Int64Range(0, 1<<40), rapid.Just(int64(math.MaxInt64)))
 		b := NewBudget(config)
 		config = config.withDefaults()
 		depth := big.NewInt(config.Rate)
@@ -186,7 +196,7 @@
 			if balance.Cmp(depth) > 0 {
 				balance.Set(depth)
 			}
-			size := int(rapid.OneOf(rapid.Int64(), rapid.Int64Range(0, 1<<40), rapid.Just(int64(math.MaxInt64))).Draw(t, "size"))
+			size := int(anySize.Draw(t, "size"))
 			b.Allow(now, Figures, size)
 			b.Spend(now, Settings, In, size)
 			balance.Sub(balance, new(big.Int).Mul(big.NewInt(int64(max(0, size))), big.NewInt(second)))
@@ -207,13 +217,19 @@
 	})
 }
 
-// Under a growing shortage figures give way first, then settings; membership never.
-func TestBudgetPriority(t *testing.T) {
-	order := func(b *Budget, now int64) string {
-		return fmt.Sprint(b.Allow(now, Membership, 100), b.Allow(now, Settings, 100), b.Allow(now, Figures, 100), b.Allow(now, 0, 100), b.Allow(now, 77, 100))
+// allowedNow tells of membership, settings, figures and two classes that are none whether 100 bytes of each are allowed.
+func allowedNow(b *Budget, now int64) string {
+	var allowed []bool
+	for _, class := range []Class{Membership, Settings, Figures, 0, 77} {
+		allowed = append(allowed, b.Allow(now, class, 100))
 	}
+	return strings.Trim(fmt.Sprint(allowed), "[]")
+}
+
+// Under a growing shortage in the long run figures give way first, then settings; membership never.
+func TestBudgetPriority(t *testing.T) {
 	depth := DefaultFactor * DefaultRate * 10
-	sustained := NewBudget(BudgetConfig{})
+	b := NewBudget(BudgetConfig{})
 	for i, step := range []struct {
 		spend int
 		want  string
@@ -225,28 +241,33 @@
 		{1, "true false false false false"},
 		{depth, "true false false false false"},
 	} {
-		sustained.Spend(0, Membership, In, step.spend)
-		sustained.peak = window{limit: sustained.peak.limit} // it is looked at below
-		if got := order(sustained, 0); got != step.want {
-			t.Errorf("sustained, step %d: %s", i, got)
+		b.Spend(0, Membership, In, step.spend)
+		b.peak = window{limit: b.peak.limit} // the next test is about it
+		if got := allowedNow(b, 0); got != step.want {
+			t.Errorf("step %d: %s", i, got)
 		}
 	}
-	peak := NewBudget(BudgetConfig{})
+}
+
+// So they do within a second, and once it is over all pass again.
+func TestBudgetPriorityAtPeak(t *testing.T) {
+	peak := DefaultFactor * DefaultRate
+	b := NewBudget(BudgetConfig{})
 	for i, step := range []struct {
 		spend int
 		want  string
 	}{
-		{DefaultFactor*DefaultRate/2 - 101, "true true true true true"},
+		{peak/2 - 101, "true true true true true"},
 		{1, "true true false false false"},
-		{DefaultFactor*DefaultRate/2 - 1, "true true false false false"},
+		{peak/2 - 1, "true true false false false"},
 		{1, "true false false false false"},
 	} {
-		peak.Spend(0, Settings, Out, step.spend)
-		if got := order(peak, 0); got != step.want {
-			t.Errorf("peak, step %d: %s", i, got)
+		b.Spend(0, Settings, Out, step.spend)
+		if got := allowedNow(b, 0); got != step.want {
+			t.Errorf("step %d: %s", i, got)
 		}
 	}
-	if got := order(peak, second+slotLength); got != "true true true true true" {
+	if got := allowedNow(b, second+slotLength); got != "true true true true true" {
 		t.Errorf("a second later: %s", got)
 	}
 }
@@ -259,9 +280,12 @@
 			b.Spend(0, Figures, In, flood)
 		}
 		got := figuresOf(t, b.Figures)
-		if b.Allow(0, Settings, 1) || !b.Allow(0, Membership, 1_000) || got["fleet_budget_left"] != 0 || got["fleet_budget_exhausted"] != 1 {
+		if got["fleet_budget_left"] != 0 || got["fleet_budget_exhausted"] != 1 {
 			t.Errorf("after %d bytes: %v", flood, got)
 		}
+		if b.Allow(0, Settings, 1) || !b.Allow(0, Membership, 1_000) {
+			t.Errorf("after %d bytes settings pass, or membership doesn't", flood)
+		}
 		muted := int64(DefaultFactor * DefaultBurst)
 		if b.Allow(muted-second, Settings, 1) || !b.Allow(muted+second, Settings, 1) {
 			t.Errorf("after %d bytes settings do not pass just after %d s", flood, muted/second)
@@ -283,7 +307,8 @@
 		b.Spend(0, Figures, Out, 1_000)
 	}
 	got := figuresOf(t, b.Figures)
-	if got["fleet_budget_figures_bytes_out"] != 100_000 || got["fleet_budget_figures_refused"] != 0 || got["fleet_budget_exhausted"] != 1 {
+	if got["fleet_budget_figures_bytes_out"] != 100_000 || got["fleet_budget_figures_refused"] != 0 ||
+		got["fleet_budget_exhausted"] != 1 {
 		t.Errorf("%v", got)
 	}
 	b.Lift(false)
--- a/internal/dissemination/corpus_test.go
+++ b/internal/dissemination/corpus_test.go
@@ -18,26 +18,13 @@
 		}
 		return ""
 	})
-	var digests [fleet.DigestBuckets]uint32
-	for i := range digests {
-		digests[i] = uint32(i) * 0x01234567
-	}
-	longest := &repairMessage{Type: typeVersions, Covered: math.MaxUint64}
-	for left := fleet.MaxBody - listFrame; ; {
-		v := fleet.Version{Name: strings.Repeat("v", fleet.MaxName), Incarnation: maxNumber, Version: maxNumber}
-		if left -= versionBytes(v); left < 0 {
-			break
-		}
-		longest.add([]fleet.Version{v})
+	messages := corpusMessages()
+	bounds := map[string]int{
+		"Name":     fleet.MaxName,
+		"Versions": maxListed,
+		"Names":    MaxPassed,
+		"Buckets":  fleet.DigestBuckets * bucketBytes,
 	}
-	messages := map[string]*repairMessage{
-		"ask":      {Type: typeAsk, Buckets: encodeBuckets(&digests)},
-		"versions": {Type: typeVersions, Covered: 1<<63 | 5, Versions: []listedVersion{{"sidecar-1", 1_700_000_000_000_001, 7}, {"sidecar-2", 1, 1}}},
-		"empty":    {Type: typeVersions, Covered: 1},
-		"longest":  longest,
-		"want":     {Type: typeWant, Names: []string{"sidecar-1", "sidecar-7"}},
-	}
-	bounds := map[string]int{"Name": fleet.MaxName, "Versions": maxListed, "Names": MaxPassed, "Buckets": fleet.DigestBuckets * bucketBytes}
 	var cases []corpus.Case
 	for name, m := range messages {
 		cases = append(cases, corpus.Case{
@@ -60,3 +47,27 @@
 	}
 	corpus.Check(t, cases, numbers)
 }
+
+// corpusMessages are what this version says, by name: each type, and the longest.
+func corpusMessages() map[string]*repairMessage {
+	var digests [fleet.DigestBuckets]uint32
+	for i := range digests {
+		digests[i] = uint32(i) * 0x01234567
+	}
+	longest := &repairMessage{Type: typeVersions, Covered: math.MaxUint64}
+	for left := fleet.MaxBody - listFrame; ; {
+		v := fleet.Version{Name: strings.Repeat("v", fleet.MaxName), Incarnation: maxNumber, Version: maxNumber}
+		if left -= versionBytes(v); left < 0 {
+			break
+		}
+		longest.add([]fleet.Version{v})
+	}
+	listed := []listedVersion{{"sidecar-1", 1_700_000_000_000_001, 7}, {"sidecar-2", 1, 1}}
+	return map[string]*repairMessage{
+		"ask":      {Type: typeAsk, Buckets: encodeBuckets(&digests)},
+		"versions": {Type: typeVersions, Covered: 1<<63 | 5, Versions: listed},
+		"empty":    {Type: typeVersions, Covered: 1},
+		"longest":  longest,
+		"want":     {Type: typeWant, Names: []string{"sidecar-1", "sidecar-7"}},
+	}
+}
--- a/internal/dissemination/errors.go
+++ b/internal/dissemination/errors.go
@@ -59,5 +59,6 @@
 
 // Advice says what an operator can do.
 func (e *MessageError) Advice() string {
-	return "Look for another program on the fleet's addresses, or a process of a version that is years away; a few harm nothing."
+	return "Look for another program on the fleet's addresses, or a process of a version that is years away; " +
+		"a few harm nothing."
 }
--- a/internal/dissemination/messages_test.go
+++ b/internal/dissemination/messages_test.go
@@ -29,7 +29,8 @@
 // A list takes exactly as many bytes as are reckoned, and its frame no more than is left for it.
 func TestSizesAreExact(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &repairMessage{Type: typeVersions, Covered: rapid.Uint64().Draw(t, "covered"), Versions: []listedVersion{{"a", 1, 1}}}
+		m := &repairMessage{Type: typeVersions, Versions: []listedVersion{{"a", 1, 1}}}
+		m.Covered = rapid.Uint64().Draw(t, "covered")
 		was := len(m.encode())
 		v := drawVersion(t)
 		m.add([]fleet.Version{v})
@@ -87,7 +88,8 @@
 	}
 	good := coded(t, map[int]any{1: 3, 5: []string{"a", "b"}})
 	names := func(count int) []byte { return coded(t, map[int]any{1: 3, 5: make([]string, count)}) }
-	versions := (&repairMessage{Type: typeVersions}).encode()
+	tooLong := strings.Repeat("x", fleet.MaxName+1)
+	lyingList := []byte{0xa2, 0x01, 0x02, 0x04, 0x9b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff}
 	return map[string]struct {
 		raw   []byte
 		fault Fault
@@ -100,8 +102,9 @@
 		"a key twice":         {[]byte{0xa2, 0x01, 0x02, 0x01, 0x02}, NotCoded},
 		"indefinite":          {[]byte{0xbf, 0x01, 0x02, 0xff}, NotCoded},
 		"a tag":               {[]byte{0xa1, 0x01, 0xc1, 0x02}, NotCoded},
-		"a list that lies":    {append(versions[:len(versions):len(versions)], 0x9b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff), NotCoded},
-		"a list of 2^63":      {[]byte{0xa2, 0x01, 0x02, 0x04, 0x9b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff}, NotCoded},
+		"a list of 2^63":      {lyingList, NotCoded},
+		"a list behind all":   {append((&repairMessage{Type: typeVersions}).encode(), lyingList[4:]...), NotCoded},
+		"a list that is cut":  {[]byte{0xa2, 0x01, 0x02, 0x04, 0x83, 0xa0}, NotCoded},
 		"no text":             {[]byte{0xa2, 0x01, 0x03, 0x05, 0x81, 0x61, 0xff}, NotCoded},
 		"a number too large":  {coded(t, map[int]any{1: 2, 3: 1.5}), NotCoded},
 		"a negative number":   {version("a", -1, 1), NotCoded},
@@ -116,9 +119,9 @@
 		"nothing wanted":      {names(0), BadCount},
 		"too much wanted":     {names(MaxPassed + 1), BadCount},
 		"wanted without name": {names(1), BadName},
-		"a long name wanted":  {coded(t, map[int]any{1: 3, 5: []string{strings.Repeat("x", fleet.MaxName+1)}}), BadName},
+		"a long name wanted":  {coded(t, map[int]any{1: 3, 5: []string{tooLong}}), BadName},
 		"listed without name": {version("", 1, 1), BadName},
-		"a long name listed":  {version(strings.Repeat("x", fleet.MaxName+1), 1, 1), BadName},
+		"a long name listed":  {version(tooLong, 1, 1), BadName},
 		"incarnation 0":       {version("a", 0, 1), BadNumber},
 		"version 0":           {version("a", 1, 0), BadNumber},
 		"incarnation 2^63":    {version("a", uint64(1)<<63, 1), BadNumber},
@@ -139,7 +142,8 @@
 		}
 		r.Message(0, fleet.Message{Kind: fleet.Repair, From: "peer", To: "self", Body: message.raw}, &out)
 	}
-	if got := figuresOf(t, r.Figures)["repair_bad_messages"]; got != uint64(len(bad)) || len(out.Send)+len(out.Pass) != 0 {
+	got := figuresOf(t, r.Figures)["repair_bad_messages"]
+	if got != uint64(len(bad)) || len(out.Send)+len(out.Pass) != 0 {
 		t.Errorf("%d of %d bad messages were counted; %+v", got, len(bad), out)
 	}
 }
@@ -170,7 +174,8 @@
 // Whatever comes, nothing out of bounds gets in, what is sent in turn can be read, and entries passed are bounded.
 func FuzzRepairReads(f *testing.F) {
 	f.Add((&repairMessage{Type: typeAsk, Buckets: make([]byte, 256)}).encode())
-	f.Add((&repairMessage{Type: typeVersions, Covered: 7, Versions: []listedVersion{{"member-1", 1, 9}, {"x", 2, 3}}}).encode())
+	listed := []listedVersion{{"member-1", 1, 9}, {"x", 2, 3}}
+	f.Add((&repairMessage{Type: typeVersions, Covered: 7, Versions: listed}).encode())
 	f.Add((&repairMessage{Type: typeWant, Names: []string{"member-1", "member-1", "x"}}).encode())
 	f.Add(coded(f, map[int]any{1: 3, 5: []string{"a"}, 99: "of a newer version"}))
 	bad := badMessages(f)
--- a/internal/dissemination/queue.go
+++ b/internal/dissemination/queue.go
@@ -176,7 +176,9 @@
 
 // place returns the index of an item in its level, or where it belongs.
 func place(level []*item, wanted *item) int {
-	at, _ := slices.BinarySearchFunc(level, wanted.put, func(i *item, put uint64) int { return cmp.Compare(i.put, put) })
+	at, _ := slices.BinarySearchFunc(level, wanted.put, func(one *item, put uint64) int {
+		return cmp.Compare(one.put, put)
+	})
 	return at
 }
 
--- a/internal/dissemination/queue_test.go
+++ b/internal/dissemination/queue_test.go
@@ -126,7 +126,9 @@
 
 // An item is sent as often as the size of the fleet asks for; a newer one begins anew.
 func TestQueueTransmissions(t *testing.T) {
-	for members, want := range map[int]int{-5: 2, 0: 2, 1: 2, 9: 2, 10: 4, 99: 4, 100: 6, 510: 6, 999: 6, 1_000: 8, 1_020: 8, math.MaxInt: 38} {
+	for members, want := range map[int]int{
+		-5: 2, 0: 2, 1: 2, 9: 2, 10: 4, 99: 4, 100: 6, 510: 6, 999: 6, 1_000: 8, 1_020: 8, math.MaxInt: 38,
+	} {
 		q := NewQueue()
 		q.Put("a", []byte("old"))
 		if got := q.Fill(100, 3, members); len(got) != 1 || string(got[0]) != "old" {
@@ -139,7 +141,8 @@
 		}
 		got := figuresOf(t, q.Figures)
 		if sent != want || got["fleet_gossip_sent"] != uint64(want+1) || got["fleet_gossip_superseded"] != 1 ||
-			got["fleet_gossip_completed"] != 1 || got["fleet_gossip_dropped"] != 0 || q.Len() != 0 || q.Waiting() != 0 {
+			got["fleet_gossip_completed"] != 1 || got["fleet_gossip_dropped"] != 0 ||
+			q.Len() != 0 || q.Waiting() != 0 {
 			t.Errorf("%d members: sent %d times: %v", members, sent, got)
 		}
 	}
@@ -219,11 +222,12 @@
 	}
 	q.Fill(1, 0, 510) // sends "more"
 	q.Put("last", []byte{3})
-	if q.items["more"] != nil || q.items["2"] == nil || q.Len() != fleet.MaxMembers || q.Waiting() != fleet.MaxMembers {
+	if q.items["more"] != nil || q.items["2"] == nil || q.Len() != fleet.MaxMembers {
 		t.Errorf("%d wait", q.Len())
 	}
 	got := figuresOf(t, q.Figures)
-	if got["fleet_gossip_dropped"] != 2 || got["fleet_gossip_waiting"] != fleet.MaxMembers || got["fleet_gossip_waiting_bytes"] != fleet.MaxMembers {
+	if got["fleet_gossip_dropped"] != 2 || got["fleet_gossip_waiting"] != fleet.MaxMembers ||
+		got["fleet_gossip_waiting_bytes"] != fleet.MaxMembers || q.Waiting() != fleet.MaxMembers {
 		t.Errorf("%v", got)
 	}
 }
--- a/internal/dissemination/repair_test.go
+++ b/internal/dissemination/repair_test.go
@@ -108,7 +108,8 @@
 		t.Errorf("%v\n%v", p.ra.versions, p.rb.versions)
 	}
 	a, b := figuresOf(t, p.a.Figures), figuresOf(t, p.b.Figures)
-	if a["repair_asks"] != 1 || a["repair_wanted"] != 2 || a["repair_passed"] != 2 || b["repair_answers"] != 1 || b["repair_passed"] != 2 {
+	if a["repair_asks"] != 1 || a["repair_wanted"] != 2 || a["repair_passed"] != 2 ||
+		b["repair_answers"] != 1 || b["repair_passed"] != 2 {
 		t.Errorf("%v\n%v", a, b)
 	}
 }
@@ -258,7 +259,8 @@
 	for _, from := range []string{"peer", "self", "", strings.Repeat("p", fleet.MaxName+1)} {
 		r.Message(0, fleet.Message{Kind: fleet.Repair, From: from, To: "self", Body: want}, &out)
 	}
-	if !slices.Equal(out.Pass, []fleet.PassedEntry{{To: "peer", Name: "x"}, {To: "peer", Name: "y"}}) || len(out.Send) != 0 {
+	passed := []fleet.PassedEntry{{To: "peer", Name: "x"}, {To: "peer", Name: "y"}}
+	if !slices.Equal(out.Pass, passed) || len(out.Send) != 0 {
 		t.Errorf("%+v", out)
 	}
 	if got := figuresOf(t, r.Figures); got["repair_passed"] != 2 || got["repair_bad_messages"] != 3 {
@@ -297,16 +299,26 @@
 		t.Errorf("%+v", wanted)
 	}
 	answered := hear(&repairMessage{Type: typeAsk, Buckets: make([]byte, fleet.DigestBuckets*bucketBytes)})
-	if len(answered.Send) != 1 || len(answered.Send[0].Body) > fleet.MaxBody || len(answered.Send[0].Body) < fleet.MaxBody*8/10 {
-		t.Errorf("%+v", answered)
+	if len(answered.Send) != 1 {
+		t.Fatalf("%+v", answered)
+	}
+	if size := len(answered.Send[0].Body); size > fleet.MaxBody || size < fleet.MaxBody*8/10 {
+		t.Errorf("an answer of %d bytes", size)
 	}
 }
 
 // What cannot stand in a message is left out of one.
 func TestRepairLeavesOut(t *testing.T) {
 	registry := newFakeRegistry()
-	for _, v := range []listedVersion{{"", 1, 1}, {"zero", 0, 1}, {"none", 1, 0}, {"huge", maxNumber + 1, 1}, {"no\xfftext", 1, 1},
-		{strings.Repeat("l", fleet.MaxName+1), 1, 1}, {"good", 1, 1}} {
+	for _, v := range []listedVersion{
+		{"", 1, 1},
+		{"zero", 0, 1},
+		{"none", 1, 0},
+		{"huge", maxNumber + 1, 1},
+		{"no\xfftext", 1, 1},
+		{strings.Repeat("l", fleet.MaxName+1), 1, 1},
+		{"good", 1, 1},
+	} {
 		registry.set(fleet.Version(v))
 	}
 	r := NewRepair(RepairConfig{Self: "self"}, registry)
--- a/internal/dissemination/simulation_test.go
+++ b/internal/dissemination/simulation_test.go
@@ -19,8 +19,12 @@
 func (w *world) expectTraffic(what string, from, to int64, mean float64, most int64) {
 	w.t.Helper()
 	gotMean, gotMost := w.report(from, to)
-	w.t.Logf("%s: %.0f bytes a second a member, %d at the most; %d asks, %d answers, %d wanted, %d passed, %d refused", what, gotMean, gotMost,
-		w.counts("repair_asks"), w.counts("repair_answers"), w.counts("repair_wanted"), w.counts("repair_passed"), w.counts("fleet_budget_settings_refused"))
+	w.t.Logf("%s: %.0f bytes a second a member, %d at the most", what, gotMean, gotMost)
+	for _, name := range []string{
+		"repair_asks", "repair_answers", "repair_wanted", "repair_passed", "fleet_budget_settings_refused",
+	} {
+		w.t.Logf("    %s %d", name, w.counts(name))
+	}
 	if gotMean > mean || gotMost > most {
 		w.t.Errorf("%s: over %.0f bytes a second, or over %d in one", what, mean, most)
 	}
@@ -43,8 +47,15 @@
 // hears no gossip at all.
 func TestFleetLearnsOfAChange(t *testing.T) {
 	for _, config := range []worldConfig{
-		{members: 510, seed: 1}, {members: 510, seed: 2}, {members: 510, seed: 3}, {members: 510, seed: 4}, {members: 510, seed: 5},
-		{members: 510, seed: 6, headBytes: 1_000}, {members: 510, seed: 7, spreadsAll: true}, {members: 1_020, seed: 1}, {members: 1_020, seed: 2},
+		{members: 510, seed: 1},
+		{members: 510, seed: 2},
+		{members: 510, seed: 3},
+		{members: 510, seed: 4},
+		{members: 510, seed: 5},
+		{members: 510, seed: 6, headBytes: 1_000},
+		{members: 510, seed: 7, spreadsAll: true},
+		{members: 1_020, seed: 1},
+		{members: 1_020, seed: 2},
 	} {
 		config.loss = 0.05
 		w := newWorld(t, config)
@@ -52,7 +63,7 @@
 		w.deafen(10 * second)
 		w.change(w.members[w.random.IntN(config.members)])
 		took := w.converge(5)
-		what := fmt.Sprintf("%d members, heads of %d bytes, seed %d, %.2f s", config.members, w.headBytes, config.seed, took)
+		what := fmt.Sprintf("%+v: %.2f s", w.worldConfig, took)
 		w.expectTraffic(what, 1, w.now/second+1, 6_000, 35_000)
 	}
 }
@@ -121,7 +132,8 @@
 	took := w.converge(300)
 	length := w.now/second - start
 	depth := float64(DefaultFactor * rate * DefaultBurst / second)
-	w.expectTraffic(fmt.Sprintf("halves in a small budget, %.2f s", took), start, w.now/second, depth/float64(length)+rate, 4*DefaultFactor*rate)
+	what := fmt.Sprintf("halves in a small budget, %.2f s", took)
+	w.expectTraffic(what, start, w.now/second, depth/float64(length)+rate, 4*DefaultFactor*rate)
 	if w.counts("fleet_budget_settings_refused") == 0 {
 		t.Error("nothing was refused: the budget was not small")
 	}
--- a/internal/dissemination/world_test.go
+++ b/internal/dissemination/world_test.go
@@ -218,7 +218,10 @@
 		d.to.repair.Root(w.now, d.from.name, d.root, &out)
 	case d.class == Membership:
 		root, _ := d.to.registry.Digest()
-		w.send(datagram{from: d.to, to: d.from, class: Membership, bytes: ackBytes - packetHeaders, isAck: true, root: root})
+		ack := datagram{from: d.to, to: d.from, class: Membership, bytes: ackBytes - packetHeaders}
+		ack.isAck = true
+		ack.root = root
+		w.send(ack)
 	case w.now >= d.to.deafTill:
 		for _, body := range d.bodies {
 			w.take(d.to, body, true)
@@ -241,11 +244,14 @@
 		if len(message.Body) > fleet.MaxBody {
 			w.t.Errorf("a message of %d bytes", len(message.Body))
 		}
-		w.send(datagram{from: m, to: w.byName[message.To], class: Settings, bytes: len(message.Body) + envelope, message: message})
+		size := len(message.Body) + envelope
+		w.send(datagram{from: m, to: w.byName[message.To], class: Settings, bytes: size, message: message})
 	}
 	for _, passed := range out.Pass {
 		if v, known := m.registry.Newest(passed.Name); known {
-			w.send(datagram{from: m, to: w.byName[passed.To], class: Settings, bytes: w.headBytes + envelope, passed: w.encodeHead(v)})
+			head := w.encodeHead(v)
+			size := len(head) + envelope
+			w.send(datagram{from: m, to: w.byName[passed.To], class: Settings, bytes: size, passed: head})
 		}
 	}
 }
