--- a/internal/stage/conductor.go
+++ b/internal/stage/conductor.go
@@ -499,7 +499,7 @@
 	if rec.Told > 0 {
 		e.begun(now)
 	}
-	if rec.Told == 0 && now-max(c.since, e.began) < p.c.Rules.Baseline {
+	if rec.Told == 0 && now-max(c.since, e.began) < max(p.c.Rules.Baseline, e.longSlot()) {
 		p.wait(now, "gathers figures of before", out)
 		return
 	}
--- a/internal/stage/evidence.go
+++ b/internal/stage/evidence.go
@@ -749,16 +749,19 @@
 			worst = f
 		}
 	}
-	most := e.rules.Most
+	// Where windows are long it takes longer until there are slots enough to tell by.
+	enough := (leastSlots + 1) * e.longSlot()
+	longest := max(e.rules.Most, enough)
+	most := longest
 	if e.stage == One {
 		// One process tells of crashes and gross faults; the next stage of the rest.
-		most = min(most, max(2*e.rules.Look, (leastSlots+1)*e.longSlot()))
+		most = min(most, max(2*e.rules.Look, enough))
 	}
 	f := worst
 	switch {
 	case told == 0 || f.calls == 0:
 		f.verdict, f.text = untold, "too little traffic to tell: no calls on the new side"
-		if now-e.since >= e.rules.Most {
+		if now-e.since >= longest {
 			f.verdict, f.measure, f.text = harms, -1, "no calls on the new side to tell by"
 		}
 	case now-e.since < e.rules.Look:
