Hold the end of the next slot against the length of the windows in a test

Need: a slot that was not lengthened when the one before closed went unnoticed. Measured: the test fails with that fault put in by hand, and passes without it.

--- a/internal/stage/figures_test.go
+++ b/internal/stage/figures_test.go
@@ -89,6 +89,9 @@
 		if g.show(2 * second); e.slot != 75*second {
 			t.Errorf("windows of 60 s: slot %d", e.slot)
 		}
+		if e.close(100 * second); e.slotEnd != 175*second {
+			t.Errorf("the next slot ends at %d", e.slotEnd)
+		}
 	}
 	p := New(Config{Name: "a"})
 	if p.slot() != 10*second || newEvidence(p.c.Rules, 1, 0, doctor{}).longSlot() != 0 {
