Let nothing stand at a stand-in office whose connection it has closed

Lines at fault: Office.serve closes the connection first and enters the ends of its set-ups afterwards, one by one; in between pipe.over asks the system of a descriptor that is closed, hears nothing, and takes that for open, so Office.stand sets up what its connection's end gave up. The protocol gives such set-ups up.

pipe.close keeps when the connection ended; over and ended go by that. Book.out, which asks the same, no longer calls an attempt whose connection the office has closed one of two that are out, and counts it as cut when it ended, not when it is looked at. Without it TestNothingStandsOnceItsConnectionIsClosed prints 'set up: true; 1 calls stand of a connection that has ended'.

--- a/internal/standin/office.go
+++ b/internal/standin/office.go
@@ -10,6 +10,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -167,8 +168,7 @@
 	out := map[uint64]bool{} // set-ups on this connection that are not over
 	var last error
 	defer func() {
-		ended := p.ended(last)
-		_ = p.conn.Close()
+		ended := p.close(last)
 		o.mu.Lock()
 		delete(o.conns, p.conn)
 		o.ties.Forget(p)
@@ -223,8 +223,8 @@
 	return o.ties.End(p, call)
 }
 
-// stand sets a call up, in one step with the book as release does; false: it was given up, or its connection's end has come,
-// which gives it up, and is not read yet.
+// stand sets a call up, in one step with the book as release does; false: it was given up, or its connection has ended, which
+// gives it up, though that end may not be read yet, or not be in the book.
 func (o *Office) stand(p *pipe, call uint64, bound bool) (told string, ok bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -347,6 +347,8 @@
 	mu   sync.Mutex
 	buf  []byte
 	part [4096]byte
+	// closed is when it ended, once it was closed from here: the system knows nothing of it any more.
+	closed atomic.Pointer[time.Time]
 }
 
 func (p *pipe) send(m wire.Message) error {
@@ -378,8 +380,11 @@
 	return info
 }
 
-// over tells whether the peer has ended the connection, though nobody may have read that yet.
+// over tells whether the connection has ended: by the peer, though nobody may have read that yet, or from here.
 func (p *pipe) over() bool {
+	if p.closed.Load() != nil {
+		return true
+	}
 	state := p.info().State
 	return state != 0 && state != unix.BPF_TCP_ESTABLISHED
 }
@@ -387,6 +392,9 @@
 // ended is when the peer ended the connection, to some milliseconds, however late it is read; now, if it did not. Once
 // something was written behind that end only what was read last tells of it: err.
 func (p *pipe) ended(err error) time.Time {
+	if closed := p.closed.Load(); closed != nil {
+		return *closed
+	}
 	now, info := time.Now(), p.info()
 	if info.State != unix.BPF_TCP_CLOSE_WAIT && !errors.Is(err, io.EOF) {
 		return now
@@ -394,6 +402,14 @@
 	return now.Add(-time.Duration(info.Last_ack_recv) * time.Millisecond)
 }
 
+// close closes the connection, whose last read failed with err, and tells when it ended.
+func (p *pipe) close(err error) time.Time {
+	ended := p.ended(err)
+	p.closed.Store(&ended)
+	_ = p.conn.Close()
+	return ended
+}
+
 // heard is when the last came on the connection, to some milliseconds, however late it is read.
 func (p *pipe) heard() time.Time {
 	return time.Now().Add(-time.Duration(p.info().Last_data_recv) * time.Millisecond)
--- a/internal/standin/office_test.go
+++ b/internal/standin/office_test.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -58,6 +59,36 @@
 	}
 }
 
+// A set-up whose work is done after the office has closed its connection, and before the book has that end, does not stand: its
+// release may have been heard on the next connection already, and nobody would know of it. Sent again, it counts as cut when
+// its connection ended.
+func TestNothingStandsOnceItsConnectionIsClosed(t *testing.T) {
+	book := NewBook()
+	o, err := NewOffice("o", "127.0.0.1:0", book, Script{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer o.Close()
+	conn, err := net.Dial("tcp4", o.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &pipe{conn: conn}
+	book.out(1, o.Name, p, time.Now())
+	ended := p.close(io.EOF)
+	if _, ok := o.stand(p, 1, false); ok || o.Standing() != 0 {
+		t.Errorf("set up: %t; %d calls stand of a connection that has ended", ok, o.Standing())
+	}
+	time.Sleep(guard)
+	if again := p.ended(io.EOF); !again.Equal(ended) {
+		t.Errorf("it ended at %s, and later is said to have ended at %s", ended, again)
+	}
+	book.out(1, "second", &pipe{conn: conn}, time.Now())
+	if broken := book.Broken(); len(broken) > 0 {
+		t.Error(broken)
+	}
+}
+
 // An attempt that was cut by its connection's end counts from that end on, also where it is not read until the next one is
 // out, and the office has told something behind it.
 func TestCutCountsFromItsEnd(t *testing.T) {
