Tell an office twice of all that was given up with a connection that had not sent all

Seen in the same trace of TestFloods: the calls that stood for nobody were not the stuck ones. Their set-ups had left; they were given up, and their releases written on the connection behind what did not leave any more. With it those were lost, and the release on the next connection was heard before the office read the set-up from the old one. Only what was open as a stuck connection ended was told again (officeLost); what had been given up there and was not heard was told once. An office that sets up before it reads the old connection's end has it for nobody.

owedAgain marks everything released and not heard on a connection that ends with bytes unsent, whatever ended it.

Without it TestReleaseLostWithAConnectionIsToldTwice prints 'the office was told 0 times more of call 1' and TestReleaseHeardLateIsToldTwice 'the office was told 0 times more'. No recording changes.

--- a/internal/session/gone_test.go
+++ b/internal/session/gone_test.go
@@ -339,3 +339,58 @@
 		t.Errorf("%d releases are still owed once they were heard again", n)
 	}
 }
+
+// A set-up has left and is given up, and its release waits behind another set-up, which is stuck: with that one's connection the
+// release is lost, though the office may read the set-up from it after it has heard of the end on the next connection. It is
+// told once more, as of the one that was stuck.
+func TestReleaseLostWithAConnectionIsToldTwice(t *testing.T) {
+	for _, stuck := range []bool{true, false} {
+		d := &sends{to: "s-00000002"}
+		p := newPlayerOf(t, Config{Sockets: 1024, Seed: 7, Node: func(decide.Settings, uint64) (Decider, error) { return d, nil }})
+		p.step()
+		p.play("5 b open")
+		p.play("10 b > " + upFor(1, 1)) // it leaves
+		first := p.conns["o2"]
+		first.fills = stuck
+		p.play("20 b > " + upFor(2, 1))
+		if !p.wroteFor("o2", 1, 1) || !p.wroteFor("o2", 1, 2) {
+			t.Fatal("the set-ups were not written")
+		}
+		p.play("90 b > " + giveUpOf(1)) // written, and does not leave
+		p.play("100 b > " + giveUpOf(2))
+		if first.dead != stuck {
+			t.Fatalf("stuck: %t; the connection has ended: %t", stuck, first.dead)
+		}
+		p.play("150 o2 > [10 0000000000000001]")
+		p.play("150 o2 > [10 0000000000000002]")
+		p.lines = nil
+		p.until(3_500_000)
+		for call := 1; call <= 2; call++ {
+			if n := strings.Count(strings.Join(p.lines, "\n"), giveUpOf(call)); (n == 1) != stuck || n > 1 {
+				t.Errorf("stuck: %t; the office was told %d times more of call %d:\n%s", stuck, n, call, strings.Join(p.lines, "\n"))
+			}
+		}
+		p.play("3600 o2 > [10 0000000000000001]")
+		p.play("3600 o2 > [10 0000000000000002]")
+		if n := len(p.s.offices.Get("s-00000002").Ended); n != 0 {
+			t.Errorf("stuck: %t; %d releases are still owed once they were heard again", stuck, n)
+		}
+	}
+}
+
+// The office hears the first release only when the second is due, and has not been told it yet: it still is.
+func TestReleaseHeardLateIsToldTwice(t *testing.T) {
+	p := newPlayer(t)
+	p.step()
+	p.play("5 b open")
+	p.conns["o2"].fills = true
+	p.play("10 b > " + upFor(2, 1))
+	p.play("100 b > " + giveUpOf(2)) // its connection ends, and the next one comes up
+	p.until(100_000 + tellAfter + 50_000)
+	p.play(fmt.Sprintf("%d o2 > [10 0000000000000002]", p.now/1000))
+	p.lines = nil
+	p.until(3_500_000)
+	if n := strings.Count(strings.Join(p.lines, "\n"), "o2 < "+giveUpOf(2)); n != 1 {
+		t.Errorf("the office was told %d times more:\n%s", n, strings.Join(p.lines, "\n"))
+	}
+}
--- a/internal/session/offices.go
+++ b/internal/session/offices.go
@@ -243,8 +243,8 @@
 	case wire.TypeRelease:
 		s.officeReleased(l, m, at)
 	case wire.TypeHeard:
-		if l.To.Ended[m.Call].Again > s.now {
-			break
+		if l.To.Ended[m.Call].Again != 0 {
+			break // it is told again first
 		}
 		delete(l.To.Ended, m.Call)
 		if s.lanes.laner != nil {
@@ -477,7 +477,7 @@
 // officeLost ends what was open on a connection. Calls that stand outlive it: the office sends their releases
 // on the next one, which is opened at once.
 func (s *Session) officeLost(l *state.Lane, err error) {
-	o := l.To
+	o, unsent := l.To, errors.Is(err, errStuck) || l.Conn.Unsent()
 	l.Conn, l.In = nil, nil
 	s.writeOffice(l) // nobody is there: what was to be written has not left
 	level := slog.LevelWarn
@@ -495,16 +495,15 @@
 			continue
 		}
 		s.Counters[state.Resets]++
-		end := state.Ending{Cause: wire.CauseNormal, At: s.now, On: l.Number}
-		if errors.Is(err, errStuck) {
-			end.Again = s.now + tellAfter
-		}
-		o.Ended[at.Call.ID] = end
+		o.Ended[at.Call.ID] = state.Ending{Cause: wire.CauseNormal, At: s.now, On: l.Number}
 		if s.lanes.laner != nil {
 			s.saw(pooling.LaneLost, at.Call.ID, 0, nil)
 		}
 		s.ended(at, decide.Cut)
 	}
+	if unsent {
+		s.owedAgain(l)
+	}
 	if s.lanes.laner != nil {
 		s.laneLost(l)
 	}
@@ -524,8 +523,21 @@
 	s.redial(o)
 }
 
-// tellAgain tells an office once more of set-ups that were given up with a connection on which they were stuck. Guards against
-// an office that reads them only then, having heard of their end on the next connection: they would stand for nobody.
+// owedAgain has what was released on a connection that ended before all of it had left, and was not heard, told once more:
+// what ended with it, and what was given up before. The release of the latter may be among what did not leave, though its
+// set-up had.
+func (s *Session) owedAgain(l *state.Lane) {
+	o := l.To
+	for call, e := range o.Ended {
+		if e.On == l.Number && e.Again == 0 {
+			e.Again = s.now + tellAfter
+			o.Ended[call] = e
+		}
+	}
+}
+
+// tellAgain tells an office once more of what is owed it again. Guards against an office that reads a set-up of a connection
+// which has ended only after it has heard of its end on the next one: it would stand for nobody.
 func (s *Session) tellAgain(o *state.Office) {
 	for call, e := range inOrder(o.Ended) {
 		if e.Again != 0 && s.now >= e.Again && o.Conn != nil {
