--- a/internal/scaletest/chaindelay/cores_test.go
+++ b/internal/scaletest/chaindelay/cores_test.go
@@ -1,11 +1,11 @@
 package chaindelay
 
 import (
-	"fmt"
 	"os"
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -37,12 +37,39 @@
 	return times
 }
 
-// busySince tells how busy the cores have been since a time, this measurement included, and the machine's load average.
-func busySince(before coreTimes) string {
-	now := readCoreTimes()
-	share := float64(now.busy-before.busy) / float64(max(1, now.all-before.all))
-	load, _ := os.ReadFile("/proc/loadavg")
-	return fmt.Sprintf("cores busy: %.2f; load: %s", share, strings.TrimSpace(string(load)))
+// otherWork is the time of the cores, and the part of it that this measurement has had: this process and the controllers.
+type otherWork struct {
+	cores coreTimes
+	own   time.Duration
+}
+
+func readOtherWork(t *testing.T, chain []*controller) otherWork {
+	t.Helper()
+	work := otherWork{cores: readCoreTimes()}
+	pids := []int{os.Getpid()}
+	for _, c := range chain {
+		pids = append(pids, c.command.Process.Pid)
+	}
+	for _, pid := range pids {
+		used, err := readUsage(pid)
+		if err != nil {
+			t.Fatal(err)
+		}
+		work.own += used.processor
+	}
+	return work
+}
+
+// since is the part of the cores that other work has had since a time.
+func (w otherWork) since(before otherWork) float64 {
+	busy := w.cores.busy - before.cores.busy - int((w.own-before.own)/clockTick)
+	return float64(max(0, busy)) / float64(max(1, w.cores.all-before.cores.all))
+}
+
+// loadAverage tells the machine's load beside the measurement, which is a part of it.
+func loadAverage() string {
+	text, _ := os.ReadFile("/proc/loadavg")
+	return "load: " + strings.TrimSpace(string(text))
 }
 
 // The times of the cores can be read.
@@ -51,3 +78,12 @@
 		t.Errorf("%+v", times)
 	}
 }
+
+// What this measurement has had itself is not other work.
+func TestOtherWork(t *testing.T) {
+	before := otherWork{coreTimes{100, 1000}, time.Second}
+	after := otherWork{coreTimes{160, 1200}, time.Second + 50*clockTick}
+	if share := after.since(before); share != 0.05 {
+		t.Errorf("other work had %v of the cores", share)
+	}
+}
