--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -66,7 +66,10 @@
 	root    uint64               // digest of the registry that the net answers probes with
 	repair  *dissemination.Repair
 	seen    int64 // when views were last looked at
-	twice   int64 // when a name that is used twice was last logged
+	twice   int64 // when an entry that was passed by was last logged
+	warned  int64 // when it was last logged that traffic is over its budget
+	// refusedSeen is how many messages had been refused then.
+	refusedSeen uint64
 
 	dropped, refused, notes, viewsMade atomic.Uint64
 }
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,16 +25,17 @@
 
 // fakeNet remembers what it was told.
 type fakeNet struct {
-	mu     sync.Mutex
-	events chan fleetnet.Event
-	own    fleet.Coded
-	passed map[string]int
-	direct []string // to whom entries were passed
-	root   uint64
-	older  bool
-	sent   []fleet.Message
-	left   bool
-	closed bool
+	mu      sync.Mutex
+	events  chan fleetnet.Event
+	own     fleet.Coded
+	passed  map[string]int
+	direct  []string // to whom entries were passed
+	refused atomic.Uint64
+	root    uint64
+	older   bool
+	sent    []fleet.Message
+	left    bool
+	closed  bool
 }
 
 func newNet() *fakeNet {
@@ -93,9 +95,11 @@
 func (n *fakeNet) Events() <-chan fleetnet.Event       { return n.events }
 func (n *fakeNet) Seen() int                           { return 0 }
 func (n *fakeNet) Name(map[string]netip.AddrPort)      {}
-func (n *fakeNet) Figures(func(string, uint64, bool))  {}
-func (n *fakeNet) Leave()                              { n.left = true }
-func (n *fakeNet) Close()                              { n.closed = true; close(n.events) }
+func (n *fakeNet) Figures(put func(string, uint64, bool)) {
+	put("fleet_budget_settings_refused", n.refused.Load(), false)
+}
+func (n *fakeNet) Leave() { n.left = true }
+func (n *fakeNet) Close() { n.closed = true; close(n.events) }
 
 // fakePart writes down what it is told, and does what it is set to.
 type fakePart struct {
@@ -422,6 +426,23 @@
 	})
 }
 
+// What had no room in the budget is logged with what to do, once a minute while it goes on.
+func TestBudgetIsWarnedOf(t *testing.T) {
+	var log bytes.Buffer
+	p := &fakePart{kind: fleet.Lease}
+	inBubble(t, Config{Log: slog.New(slog.NewTextHandler(&log, nil))}, p, func(_ *Agent, n *fakeNet) {
+		for range 3 {
+			n.refused.Add(7)
+			time.Sleep(40 * time.Second)
+		}
+		synctest.Wait()
+	})
+	lines := strings.Count(log.String(), "control traffic is over its budget")
+	if lines != 2 || strings.Count(log.String(), "refused=7 advice=") != 2 { // the third time is within a minute of the second
+		t.Errorf("%d lines\n%s", lines, log.String())
+	}
+}
+
 // address is one that no connection is given meanwhile.
 func address() netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(standin.FreePort()))
--- a/internal/agent/figures.go
+++ b/internal/agent/figures.go
@@ -13,6 +13,7 @@
 
 	"pewterwheel/internal/failpoint"
 	"pewterwheel/internal/fleet"
+	"pewterwheel/internal/fleetnet"
 )
 
 // window ends a window of figures. The modules that pass it to who asks are given it; it stands in the own entry as others
@@ -101,11 +102,27 @@
 	for _, p := range a.parts {
 		p.Figures(put)
 	}
+	a.warnOfBudget(fs)
 	if err := a.metrics.set(fs); err != nil {
 		a.log.Error("figures stay as they were", "error", err)
 	}
 }
 
+// warnOfBudget logs, now and then, that something of this process's traffic had no room in its budget.
+func (a *Agent) warnOfBudget(fs []figure) {
+	refused := uint64(0)
+	for _, f := range fs {
+		if f.name == "fleet_budget_settings_refused" || f.name == "fleet_budget_figures_refused" {
+			refused += f.n
+		}
+	}
+	if refused == a.refusedSeen || a.warned != 0 && a.now-a.warned < warnInterval {
+		return
+	}
+	a.log.Warn("control traffic is over its budget", "refused", refused-a.refusedSeen, "advice", fleetnet.BudgetAdvice)
+	a.refusedSeen, a.warned = refused, a.now
+}
+
 // Figures gives the figures as they were at the end of the last window. Any goroutine may ask.
 func (a *Agent) Figures(put func(name string, n uint64, gauge bool)) {
 	if failpoint.On("figures-wait") {
--- a/internal/fleetnet/errors.go
+++ b/internal/fleetnet/errors.go
@@ -70,10 +70,11 @@
 	return fmt.Sprintf("fleetnet: no room in the budget for a message of %d bytes (%s)", e.Size, e.Class)
 }
 
+// BudgetAdvice is what an operator can do where control traffic is over its budget.
+const BudgetAdvice = "Nothing is lost if it passes: it is sent again. If it goes on, see in STATS which fleet_budget_ counter grows, and raise control-bytes in [fleet]."
+
 // Advice says what an operator can do.
-func (e *BudgetError) Advice() string {
-	return "Nothing is lost if it passes: it is sent again. If it goes on, see in STATS which fleet_budget_ counter grows, and raise control-bytes in [fleet]."
-}
+func (e *BudgetError) Advice() string { return BudgetAdvice }
 
 // Errors are all errors of this package, for the operators' page.
 var Errors = []advice.Advised{&UnknownMemberError{}, &BindError{}, &SizeError{}, &ConfigError{}, &BudgetError{}}
