--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -287,6 +287,9 @@
 			a.passOn(name, fleet.Coded{Entry: spread})
 		}
 	case fleetnet.Update:
+		if failpoint.On("deaf-own") && updateOfName(e.Bytes, a.cfg.Self) {
+			return
+		}
 		name, spread, err := a.registry.TakeUpdate(a.now, e.Bytes)
 		a.passedBy(err)
 		if spread != nil {
--- a/internal/agent/doctor.go
+++ b/internal/agent/failpoints.go
@@ -22,3 +22,9 @@
 	e, err := fleet.DecodeEntry(entry)
 	return err == nil && e.Name == name
 }
+
+// updateOfName tells whether a coded update is of a process's entry.
+func updateOfName(update []byte, name string) bool {
+	u, err := fleet.DecodeUpdate(update)
+	return err == nil && u.Name == name
+}
--- a/internal/fleetnet/delegate.go
+++ b/internal/fleetnet/delegate.go
@@ -175,6 +175,7 @@
 	n.peers = append(n.peers, node.Name)
 	n.mu.Unlock()
 	n.seen.Add(1)
+	n.joined.Add(1)
 	n.came(Event{Kind: Up, Name: node.Name})
 }
 
--- a/internal/fleetnet/net.go
+++ b/internal/fleetnet/net.go
@@ -107,7 +107,7 @@
 	// gossipNodes is how many others are told in each gossip, by memberlist of the membership and by this package of entries.
 	gossipNodes = 3
 	// membershipMultiplier times log10 of the members is how often memberlist repeats what it spreads.
-	membershipMultiplier = 2
+	membershipMultiplier = 3
 	// maxStreams bounds the connections that are taken in at once, and streamWithin how long one may take to say whose it is.
 	maxStreams   = 64
 	streamWithin = time.Second
@@ -133,7 +133,7 @@
 // counts are what came, went and was passed by.
 type counts struct {
 	sent, unsent, received, entries, spread, foreign, garbage, misled, dropped, complaints, twice, bytesOut, bytesIn atomic.Uint64
-	updates, datagramsOut, datagramsIn, streamsOut, streamsIn, streamBytesOut, streamBytesIn                         atomic.Uint64
+	updates, datagramsOut, datagramsIn, streamsOut, streamsIn, streamsRefused, streamBytesOut, streamBytesIn         atomic.Uint64
 }
 
 type member struct {
@@ -150,6 +150,7 @@
 	counts    counts
 	budget    *account
 	seen      atomic.Int64  // others that the membership sees
+	joined    atomic.Uint64 // times that another came to be seen
 	root      atomic.Uint64 // of this process's entries
 	older     atomic.Bool   // members of the older version are heard
 
@@ -226,7 +227,7 @@
 	}{{"fleet_messages_out", &c.sent}, {"fleet_messages_unsent", &c.unsent}, {"fleet_messages_in", &c.received}, {"fleet_messages_misled", &c.misled},
 		{"fleet_entries_heard", &c.entries}, {"fleet_updates_heard", &c.updates}, {"fleet_entries_spread", &c.spread}, {"fleet_foreign", &c.foreign}, {"fleet_garbage", &c.garbage},
 		{"fleet_events_dropped", &c.dropped}, {"fleet_net_complaints", &c.complaints}, {"fleet_bytes_out", &c.bytesOut}, {"fleet_bytes_in", &c.bytesIn},
-		{"fleet_datagrams_out", &c.datagramsOut}, {"fleet_datagrams_in", &c.datagramsIn}, {"fleet_streams_out", &c.streamsOut}, {"fleet_streams_in", &c.streamsIn},
+		{"fleet_datagrams_out", &c.datagramsOut}, {"fleet_datagrams_in", &c.datagramsIn}, {"fleet_streams_out", &c.streamsOut}, {"fleet_streams_in", &c.streamsIn}, {"fleet_streams_refused", &c.streamsRefused},
 		{"fleet_stream_bytes_out", &c.streamBytesOut}, {"fleet_stream_bytes_in", &c.streamBytesIn}} {
 		put(f.name, f.n.Load(), false)
 	}
--- a/internal/fleetnet/transport.go
+++ b/internal/fleetnet/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"log"
 	"log/slog"
 	"maps"
@@ -245,15 +246,52 @@
 	case label != t.cluster:
 		t.counts.foreign.Add(1)
 	default:
-		select {
-		case t.streams <- labelled: // memberlist sets a deadline of its own
+		if t.handOver(labelled) {
 			return
-		case <-t.done:
 		}
 	}
 	_ = conn.Close()
 }
 
+// exchange is memberlist's first byte of an exchange of all states.
+const exchange = 6
+
+// handOver gives a connection to memberlist; false: it is to be closed. Exchanges of all states wait for another time where the
+// budget has no room: when one member comes back many call on it at once.
+func (t *transport) handOver(conn net.Conn) bool {
+	var first [1]byte
+	if _, err := io.ReadFull(conn, first[:]); err != nil {
+		t.counts.garbage.Add(1)
+		return false
+	}
+	if first[0] == exchange && !t.budget.allow(dissemination.Settings, frame) {
+		t.counts.streamsRefused.Add(1)
+		return false
+	}
+	select {
+	case t.streams <- &peekedConn{Conn: conn, first: first[:]}: // memberlist sets a deadline of its own
+		return true
+	case <-t.done:
+		return false
+	}
+}
+
+// peekedConn is a connection of which the first byte has been read already.
+type peekedConn struct {
+	net.Conn
+	first []byte
+}
+
+// Read gives the first byte once more.
+func (c *peekedConn) Read(b []byte) (int, error) {
+	if len(c.first) > 0 && len(b) > 0 {
+		n := copy(b, c.first)
+		c.first = c.first[n:]
+		return n, nil
+	}
+	return c.Conn.Read(b)
+}
+
 // Shutdown closes the sockets and ends the goroutines.
 func (t *transport) Shutdown() error {
 	t.once.Do(func() {
--- a/internal/scaletest/hollow.go
+++ b/internal/scaletest/hollow.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"pewterwheel/internal/agent"
+	"pewterwheel/internal/aggregate"
+	"pewterwheel/internal/dissemination"
 	"pewterwheel/internal/fleet"
 	"pewterwheel/internal/fleetnet"
 	"pewterwheel/internal/lease"
@@ -28,6 +30,8 @@
 	Regions int    // 0: 2; zones are divided evenly
 	Links   *Links // what passes between members; nil: they reach each other directly
 	Seed    uint64 // of the generated figures, and of what is lost
+	Budget  dissemination.BudgetConfig
+	Modules func(*Member) []fleet.Module // further modules of each incarnation; nil: none
 }
 
 // Fleet is a number of hollow members.
@@ -51,6 +55,8 @@
 	firstPort = 10_946
 	// aRow of members has addresses that differ in the last number.
 	aRow = 250
+	// electors are so many, the first members: they take turns over the zones.
+	electors = 5
 	// ourRoster is the number of the roster that all members know.
 	ourRoster = 1
 )
@@ -167,7 +173,9 @@
 	settings atomic.Uint64 // that it goes by
 	mu       sync.Mutex
 	running  *incarnation // nil: it does not run
-	before   Counters     // of earlier incarnations
+	figures  *aggregate.Module
+	lessor   *lease.Part
+	before   Counters // of earlier incarnations
 }
 
 // incarnation is a member from its start to its end.
@@ -195,6 +203,7 @@
 		Bind:    at,
 		Reach:   at,
 		Names:   m.fleet.addresses(m),
+		Budget:  m.fleet.spec.Budget,
 	})
 	if err != nil {
 		return err
@@ -229,10 +238,40 @@
 		Incarnation: incarnation,
 		Seed:        incarnation,
 		Roster:      ourRoster,
-		Names:       m.fleet.names,
+		Names:       m.fleet.names[:min(electors, len(m.fleet.names))],
 		Floor:       incarnation / 1000,
 	})
-	return []fleet.Module{lessor, stage.New(stage.Config{Name: m.Name, Zone: m.Zone, Lease: lessor})}
+	figures := aggregate.New(aggregate.Config{Self: m.Name, Seed: incarnation})
+	m.mu.Lock()
+	m.figures, m.lessor = figures, lessor
+	m.mu.Unlock()
+	modules := []fleet.Module{lessor, figures, stage.New(stage.Config{Name: m.Name, Zone: m.Zone, Lease: lessor})}
+	if more := m.fleet.spec.Modules; more != nil {
+		modules = append(modules, more(m)...)
+	}
+	return modules
+}
+
+// Claim asks for the lease of a thing, which is held from then on.
+func (m *Member) Claim(thing string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.running == nil || m.lessor == nil {
+		return
+	}
+	lessor := m.lessor
+	m.running.agent.Post(func(now int64, out *fleet.Out) { lessor.Claim(now, thing, out) })
+}
+
+// Want says whether a member asks for the windows of figures of all others, as the conductor of a change does.
+func (m *Member) Want(wanted bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.running == nil || m.figures == nil {
+		return
+	}
+	figures := m.figures
+	m.running.agent.Post(func(now int64, out *fleet.Out) { figures.Want(now, wanted, out) })
 }
 
 // Stop ends a member that tells the others that it leaves.
