--- a/internal/dissemination/budget_test.go
+++ b/internal/dissemination/budget_test.go
@@ -217,7 +217,7 @@
 	})
 }
 
-// allowedNow tells of membership, settings, figures and two classes that are none whether 100 bytes of each are allowed.
+// allowedNow tells whether 100 bytes are allowed of membership, settings, figures and two classes that are none.
 func allowedNow(b *Budget, now int64) string {
 	var allowed []bool
 	for _, class := range []Class{Membership, Settings, Figures, 0, 77} {
--- a/internal/dissemination/repair.go
+++ b/internal/dissemination/repair.go
@@ -146,7 +146,7 @@
 			answer.add(versions)
 			continue
 		}
-		if answer.Covered == 0 {
+		if len(answer.Versions) == 0 {
 			answer.add(r.somePart(versions, left))
 			break
 		}
