--- a/internal/scaletest/chaindelay/controller_test.go
+++ b/internal/scaletest/chaindelay/controller_test.go
@@ -153,8 +153,8 @@
 	return office
 }
 
-// startChain starts controllers in a row before an office, with a relay between each two, the last one first. It returns
-// them in the order in which a call passes them.
+// startChain starts controllers in a row before an office, with a relay between each two, the last one first. It
+// returns them in the order in which a call passes them.
 func startChain(t *testing.T, office string, depth int) []*controller {
 	t.Helper()
 	chain := make([]*controller, depth)
--- a/internal/scaletest/chaindelay/cores_test.go
+++ b/internal/scaletest/chaindelay/cores_test.go
@@ -37,7 +37,7 @@
 	return times
 }
 
-// otherWork is the time of the cores, and the part of it that this measurement has had: this process and the controllers.
+// otherWork is the time of the cores, and what of it this measurement has had: this process and the controllers.
 type otherWork struct {
 	cores coreTimes
 	own   time.Duration
--- a/internal/scaletest/chaindelay/relay_test.go
+++ b/internal/scaletest/chaindelay/relay_test.go
@@ -12,8 +12,8 @@
 // information is parameter 31 of a caller's set-up, which a controller's set-up to its office does not have.
 var information = wire.Text(wire.ParamInfo, "dest:-1;width:1;via:-1")
 
-// startRelay starts what stands between two controllers in a row, and returns its address. It passes all messages on, and
-// gives each set-up the parameter that the second controller asks of its callers.
+// startRelay starts what stands between two controllers in a row, and returns its address. It passes all messages on,
+// and gives each set-up the parameter that the second controller asks of its callers.
 func startRelay(t *testing.T, to string) string {
 	t.Helper()
 	listener := listenHere(t)
@@ -135,8 +135,8 @@
 	}
 }
 
-// A controller refuses the set-up that another one sends to its office: parameter 31 is missing. If this is no longer so,
-// controllers can stand in a row without relays.
+// A controller refuses the set-up that another one sends to its office: parameter 31 is missing. If this is no longer
+// so, controllers can stand in a row without relays.
 func TestControllersNeedRelays(t *testing.T) {
 	address := startController(t, "c1", listenHere(t).Addr().String()).listen
 	conn, err := net.Dial("tcp4", address)
