Call the faults that tests of internal/stage put in failpoints

Need: "doctor" is no term of the field. Change: the type, its fields and their uses, in code and tests, and nothing else. Measured: internal/stage passes.

--- a/internal/stage/api.go
+++ b/internal/stage/api.go
@@ -80,8 +80,8 @@
 
 	Rules Rules
 
-	doctor doctor
-	oracle func(stage int) bool // for the search: whether a stage does worse, in place of the figures
+	failpoints failpoints
+	oracle     func(stage int) bool // for the search: whether a stage does worse, in place of the figures
 }
 
 // Subscriber asks the other processes for their windows of figures, which then come to stand in the view.
--- a/internal/stage/conductor.go
+++ b/internal/stage/conductor.go
@@ -195,7 +195,7 @@
 	if err != nil {
 		return // it is tried again in the next step, if the lease is still held
 	}
-	if p.c.doctor.tellsFirst {
+	if p.c.failpoints.tellsFirst {
 		c.rec, c.write, c.then = rec, w, then
 		p.stored(now, out)
 		return
--- a/internal/stage/ending.go
+++ b/internal/stage/ending.go
@@ -68,7 +68,7 @@
 		return
 	}
 	rec.Stage++
-	if p.c.doctor.anyOrder && rec.Stage < All {
+	if p.c.failpoints.anyOrder && rec.Stage < All {
 		rec.Stage++
 	}
 	p.store(now, rec, nextStage, out)
--- a/internal/stage/evidence.go
+++ b/internal/stage/evidence.go
@@ -89,36 +89,36 @@
 
 // evidence is what the figures of all processes say of old against new. The conductor keeps it, and those who would follow it.
 type evidence struct {
-	rules    Rules
-	slot     int64 // how long a slot is now
-	asked    bool  // the figures come by message, in windows that may be longer than Rules.Warm
-	fresh    bool  // it has begun with this view
-	change   uint64
-	began    int64
-	slotEnd  int64
-	subjects map[string]*subject
-	names    []string // sorted
-	classes  []string
-	edge     [maxClasses]int     // of the histogram, next to the old 99th percentile; 0: not known
-	tail     [maxClasses]float64 // by how much the share over it grows, of itself, where that percentile is worse by its margin
-	edges    bool
-	waits    [maxClasses][32]float64 // of all, before the change
-	told     bool                    // somebody has been told: what comes is no longer of before
-	stage    int                     // that is judged; -1: none
-	since    int64
-	closed   int // slots, in all
-	slots    int
-	oldSum   [measures]pair
-	newSum   [measures]pair
-	tailSum  pair
-	apart    [growth][]float64        // how far apart the old ones were, by slot, sorted
-	steady   [maxClasses][growth]pair // for the doctor that does not pair: old figures before the change
-	broke    string                   // the first new process whose counters show a broken rule
-	doctor   doctor
+	rules      Rules
+	slot       int64 // how long a slot is now
+	asked      bool  // the figures come by message, in windows that may be longer than Rules.Warm
+	fresh      bool  // it has begun with this view
+	change     uint64
+	began      int64
+	slotEnd    int64
+	subjects   map[string]*subject
+	names      []string // sorted
+	classes    []string
+	edge       [maxClasses]int     // of the histogram, next to the old 99th percentile; 0: not known
+	tail       [maxClasses]float64 // by how much the share over it grows, of itself, where that percentile is worse by its margin
+	edges      bool
+	waits      [maxClasses][32]float64 // of all, before the change
+	told       bool                    // somebody has been told: what comes is no longer of before
+	stage      int                     // that is judged; -1: none
+	since      int64
+	closed     int // slots, in all
+	slots      int
+	oldSum     [measures]pair
+	newSum     [measures]pair
+	tailSum    pair
+	apart      [growth][]float64        // how far apart the old ones were, by slot, sorted
+	steady     [maxClasses][growth]pair // for the failpoint that does not pair: old figures before the change
+	broke      string                   // the first new process whose counters show a broken rule
+	failpoints failpoints
 }
 
-func newEvidence(r Rules, change uint64, now int64, d doctor) *evidence {
-	return &evidence{rules: r, slot: r.Slot, change: change, began: now, slotEnd: now + r.Slot, subjects: map[string]*subject{}, stage: -1, doctor: d}
+func newEvidence(r Rules, change uint64, now int64, d failpoints) *evidence {
+	return &evidence{rules: r, slot: r.Slot, change: change, began: now, slotEnd: now + r.Slot, subjects: map[string]*subject{}, stage: -1, failpoints: d}
 }
 
 // longSlot is the length of a slot where that hangs on how long windows are; else 0.
--- a/internal/stage/doctor.go
+++ b/internal/stage/failpoints.go
@@ -1,7 +1,7 @@
 package stage
 
-// doctor takes safeguards out, one at a time, for the tests that show that each is missed.
-type doctor struct {
+// failpoints take safeguards out, one at a time, for the tests that show that each is missed.
+type failpoints struct {
 	tellsFirst   bool // the record is not written before processes are told
 	noFence      bool // orders of a lower number are obeyed
 	anyOrder     bool // stages are skipped
--- a/internal/stage/figures_test.go
+++ b/internal/stage/figures_test.go
@@ -94,7 +94,7 @@
 		}
 	}
 	p := New(Config{Name: "a"})
-	if p.slot() != 10*second || newEvidence(p.c.Rules, 1, 0, doctor{}).longSlot() != 0 {
+	if p.slot() != 10*second || newEvidence(p.c.Rules, 1, 0, failpoints{}).longSlot() != 0 {
 		t.Error("windows in entries change the slot")
 	}
 }
--- a/internal/stage/gather.go
+++ b/internal/stage/gather.go
@@ -20,7 +20,7 @@
 	e := c.evidence
 	fresh := e == nil || e.change != r
 	if fresh {
-		e = newEvidence(p.c.Rules, r, now, p.c.doctor)
+		e = newEvidence(p.c.Rules, r, now, p.c.failpoints)
 		e.asked = p.c.Figures != nil
 		e.slotEnd = now + p.slot()
 		c.evidence = e
--- a/internal/stage/guards_test.go
+++ b/internal/stage/guards_test.go
@@ -27,7 +27,7 @@
 }
 
 // judged plays 60 processes, 6 of which change, and returns what the looks of 40 slots come to.
-func (f *figures) judged(d doctor, before int) finding {
+func (f *figures) judged(d failpoints, before int) finding {
 	rules := Rules{Warm: 1, Alpha: 0.02}.whole()
 	e := newEvidence(rules, change, 0, d)
 	now, number := int64(0), uint64(0)
@@ -70,7 +70,7 @@
 }
 
 // halts counts the changes of 100 that are halted.
-func halts(f figures, d doctor, before int) int {
+func halts(f figures, d failpoints, before int) int {
 	n := 0
 	for seed := range uint64(100) {
 		f.r = rand.New(rand.NewPCG(seed, 7))
@@ -87,16 +87,16 @@
 		name        string
 		f           figures
 		before      int
-		d           doctor
+		d           failpoints
 		least, most int // of 100 that are halted
 	}{
-		{"harmless", figures{base: 0.02, differ: 0.3}, 12, doctor{}, 0, 1},
-		{"a point of refusals", figures{base: 0.02, differ: 0.3, worse: 0.01}, 12, doctor{}, 95, 100},
-		{"a point of refusals, nothing known of before", figures{base: 0.02, differ: 0.1, worse: 0.01}, 0, doctor{}, 95, 100},
-		{"trouble of all", figures{base: 0.02, differ: 0.3, trouble: 0.1}, 12, doctor{}, 0, 1},
-		{"processes that differ much", figures{base: 0.02, differ: 0.8}, 0, doctor{}, 0, 2},
-		{"no pairs: trouble of all is taken for harm", figures{base: 0.02, differ: 0.3, trouble: 0.1}, 12, doctor{noPairs: true}, 75, 100},
-		{"no clusters: differences are taken for harm", figures{base: 0.02, differ: 0.8}, 0, doctor{noCluster: true}, 15, 100},
+		{"harmless", figures{base: 0.02, differ: 0.3}, 12, failpoints{}, 0, 1},
+		{"a point of refusals", figures{base: 0.02, differ: 0.3, worse: 0.01}, 12, failpoints{}, 95, 100},
+		{"a point of refusals, nothing known of before", figures{base: 0.02, differ: 0.1, worse: 0.01}, 0, failpoints{}, 95, 100},
+		{"trouble of all", figures{base: 0.02, differ: 0.3, trouble: 0.1}, 12, failpoints{}, 0, 1},
+		{"processes that differ much", figures{base: 0.02, differ: 0.8}, 0, failpoints{}, 0, 2},
+		{"no pairs: trouble of all is taken for harm", figures{base: 0.02, differ: 0.3, trouble: 0.1}, 12, failpoints{noPairs: true}, 75, 100},
+		{"no clusters: differences are taken for harm", figures{base: 0.02, differ: 0.8}, 0, failpoints{noCluster: true}, 15, 100},
 	} {
 		if n := halts(c.f, c.d, c.before); n < c.least || n > c.most {
 			t.Errorf("%s: %d of 100 halted, want %d to %d", c.name, n, c.least, c.most)
@@ -111,7 +111,7 @@
 func TestSequentialBound(t *testing.T) {
 	const alpha, paths, steps = 0.05, 1500, 200
 	for _, stays := range []float64{0, 0.02} {
-		for _, d := range []doctor{{}, {peeks: true}} {
+		for _, d := range []failpoints{{}, {peeks: true}} {
 			r := rand.New(rand.NewPCG(9, 9))
 			halted := 0
 			for range paths {
@@ -185,9 +185,9 @@
 	return nil
 }
 
-func drawPlan(t *rapid.T, d doctor) *plan {
+func drawPlan(t *rapid.T, d failpoints) *plan {
 	p := &plan{rules: Rules{Away: 1}.whole(), change: 5, program: true, back: rapid.Bool().Draw(t, "back"), last: rapid.Bool().Draw(t, "last"), stage: rapid.IntRange(One, All).Draw(t, "stage"),
-		neighbours: func(a, b string) bool { return a[:2] == b[:2] }, doctor: d}
+		neighbours: func(a, b string) bool { return a[:2] == b[:2] }, failpoints: d}
 	n := rapid.IntRange(1, 40).Draw(t, "processes")
 	load := rapid.Float64Range(0.2, 1).Draw(t, "load")
 	for i := range n {
@@ -204,14 +204,14 @@
 
 func TestPlan(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		if err := checkPlan(drawPlan(t, doctor{})); err != nil {
+		if err := checkPlan(drawPlan(t, failpoints{})); err != nil {
 			t.Fatal(err)
 		}
 	})
 }
 
 // crash plays a change in which the one process that is new dies, and returns what the conductor notes then.
-func crash(t *testing.T, d doctor) string {
+func crash(t *testing.T, d failpoints) string {
 	w := openedWorld(t, 4, d, func(w *world) { w.lossy = true })
 	said := ""
 	for range 200 {
@@ -257,11 +257,11 @@
 
 // Each safeguard is taken out in turn, and missed for its own reason.
 func TestSafeguards(t *testing.T) {
-	find := func(n int, d doctor, set func(w *world)) error {
+	find := func(n int, d failpoints, set func(w *world)) error {
 		_, _, _, err := search(openedWorld(t, n, d, set), 20000)
 		return err
 	}
-	plans := func(d doctor) error {
+	plans := func(d failpoints) error {
 		var found error
 		for seed := range 300 {
 			p := rapid.Custom(func(t *rapid.T) *plan { return drawPlan(t, d) }).Example(seed)
@@ -276,27 +276,27 @@
 		err  error
 		want string
 	}{
-		{"record not written first", find(3, doctor{tellsFirst: true}, func(w *world) {}), "told before it was written down"},
-		{"fence not looked at", find(3, doctor{noFence: true}, func(w *world) { w.lossy, w.doubles, w.moves, w.worse = true, 1, 1, One }), "obeys a lower number"},
-		{"stages out of order", find(3, doctor{anyOrder: true}, func(w *world) {}), "a stage is skipped"},
-		{"neighbours", plans(doctor{noNeighbours: true}), "neighbours at once"},
-		{"capacity", plans(doctor{noRoom: true}), "under the capacity"},
+		{"record not written first", find(3, failpoints{tellsFirst: true}, func(w *world) {}), "told before it was written down"},
+		{"fence not looked at", find(3, failpoints{noFence: true}, func(w *world) { w.lossy, w.doubles, w.moves, w.worse = true, 1, 1, One }), "obeys a lower number"},
+		{"stages out of order", find(3, failpoints{anyOrder: true}, func(w *world) {}), "a stage is skipped"},
+		{"neighbours", plans(failpoints{noNeighbours: true}), "neighbours at once"},
+		{"capacity", plans(failpoints{noRoom: true}), "under the capacity"},
 	} {
 		if c.err == nil || !strings.Contains(c.err.Error(), c.want) {
 			t.Errorf("%s: %v, want %q", c.name, c.err, c.want)
 		}
 	}
-	if got := crash(t, doctor{}); !strings.Contains(got, "died in the change") {
+	if got := crash(t, failpoints{}); !strings.Contains(got, "died in the change") {
 		t.Errorf("a new process died: %q", got)
 	}
-	if got := crash(t, doctor{noCrash: true}); got != "concluded: " {
+	if got := crash(t, failpoints{noCrash: true}); got != "concluded: " {
 		t.Errorf("a new process died, and nobody counts: %q", got)
 	}
 }
 
 // What is refused, and what an operator reads of it.
 func TestRefusals(t *testing.T) {
-	w := openedWorld(t, 3, doctor{}, func(w *world) {})
+	w := openedWorld(t, 3, failpoints{}, func(w *world) {})
 	var out fleet.Out
 	p := w.parts[0]
 	for _, c := range []struct {
@@ -347,7 +347,7 @@
 	if back, err := readRecord(r.encode()); err != nil || back.Target != r.Target || len(back.Wave) != MaxWave {
 		t.Errorf("read back: %+v, %v", back, err)
 	}
-	w := openedWorld(t, 3, doctor{}, func(w *world) {})
+	w := openedWorld(t, 3, failpoints{}, func(w *world) {})
 	rapid.Check(t, func(t *rapid.T) {
 		b := rapid.SliceOfN(rapid.Byte(), 0, 200).Draw(t, "bytes")
 		before := w.print()
--- a/internal/stage/judge.go
+++ b/internal/stage/judge.go
@@ -58,7 +58,7 @@
 
 // judge says whether a comparison shows harm, with a chance of at most alpha that there is none over what is spared, or no
 // harm, with a chance of at most beta that it is as bad as the margin.
-func (c comparison) judge(alpha, beta float64, d doctor) verdict {
+func (c comparison) judge(alpha, beta float64, d failpoints) verdict {
 	if d.peeks { // the fault: a test for one look, taken at every look
 		z := normalOf((c.diff-c.spared)/math.Sqrt(c.variance), c.freedom)
 		if z > distuv.UnitNormal.Quantile(1-alpha) {
--- a/internal/stage/look.go
+++ b/internal/stage/look.go
@@ -174,7 +174,7 @@
 				v = stat.Variance(g.olds, nil)
 			}
 		}
-		if e.doctor.noPairs {
+		if e.failpoints.noPairs {
 			mid = 0
 		}
 		w := float64(len(g.news)) / float64(nNew)
@@ -198,7 +198,7 @@
 		p := min(0.5, (a.num+b.num+1)/(a.den+b.den+2))
 		binomial := p * (1 - p) * (1/max(a.den, 1) + 1/max(b.den, 1))
 		least = max(least, binomial)
-		if e.doctor.noCluster { // the fault: calls taken for independent, processes for alike
+		if e.failpoints.noCluster { // the fault: calls taken for independent, processes for alike
 			c.variance = binomial
 		}
 	}
@@ -270,7 +270,7 @@
 			continue
 		}
 		told++
-		f := finding{verdict: c.judge(alpha, e.rules.Beta, e.doctor), measure: m, comparison: c}
+		f := finding{verdict: c.judge(alpha, e.rules.Beta, e.failpoints), measure: m, comparison: c}
 		// The spread of the old ones says little of how far out one of them can be, as the one on which a jump falls hardest:
 		// a few new ones are not halted for what an old one shows as well.
 		// One slot in which a trouble begins is no path: its spread is that of the moment alone.
--- a/internal/stage/part.go
+++ b/internal/stage/part.go
@@ -45,7 +45,7 @@
 func newPart(c Config) *Part {
 	c.Rules = c.Rules.whole()
 	p := &Part{c: c, running: c.Running, concluded: c.Concluded, next: math.MaxInt64}
-	p.watch = watch{self: c.Name, peers: map[string]*peer{}, doctor: c.doctor}
+	p.watch = watch{self: c.Name, peers: map[string]*peer{}, failpoints: c.failpoints}
 	if c.Running.Change != c.Concluded.Change {
 		p.state, p.change, p.target = Changed, c.Running.Change, c.Running
 	}
@@ -109,7 +109,7 @@
 		return
 	}
 	p.counts.orders++
-	if !p.c.doctor.noFence && (s.Fence < p.fence || s.Fence == p.fence && s.Write < p.write) {
+	if !p.c.failpoints.noFence && (s.Fence < p.fence || s.Fence == p.fence && s.Write < p.write) {
 		p.counts.refused++
 		err := &FenceError{Change: s.Change, Fence: s.Fence, Seen: p.fence, From: from}
 		p.note(out, "order refused", s.Fence, int64(s.Change), err.Error())
--- a/internal/stage/plan.go
+++ b/internal/stage/plan.go
@@ -71,7 +71,7 @@
 	told       int // told so far, over all stages
 	places     []place
 	neighbours func(a, b string) bool
-	doctor     doctor
+	failpoints failpoints
 }
 
 // quota is how many processes of each zone a stage holds: its size shared out by the zones' sizes, the rest to those that
@@ -197,11 +197,11 @@
 			if len(wave) > 0 && zoneOf(p.places, wave[0]) != zone || len(wave) >= may {
 				continue
 			}
-			if !p.doctor.noNeighbours && p.besideBusy(list, i, wave) {
+			if !p.failpoints.noNeighbours && p.besideBusy(list, i, wave) {
 				continue
 			}
 			// Guards against a take-over that leaves less than the traffic needs.
-			if p.program && !p.doctor.noRoom && !(p.back && p.last && busy == 0) {
+			if p.program && !p.failpoints.noRoom && !(p.back && p.last && busy == 0) {
 				if have-x.shown < p.room()*need {
 					why = "waits: the processes left would not serve what is offered"
 					continue
--- a/internal/stage/search_test.go
+++ b/internal/stage/search_test.go
@@ -68,28 +68,28 @@
 
 // world is a few processes, their messages and acts, and what may still go wrong.
 type world struct {
-	now      int64
-	lease    *fake
-	parts    []*Part
-	entries  []fleet.Entry
-	acts     [][]fleet.Act
-	wrote    []uint64 // change that the file of the concluded target names, by process
-	mail     []fleet.Message
-	viewed   [2]string // what was last shown to those who claim, and to the others
-	drops    int
-	doubles  int
-	deaths   int
-	moves    int
-	refusals int
-	worse    int // the stage that does worse
-	doctor   doctor
-	program  bool
-	forgets  bool // a move of the lease loses its record
-	lossy    bool
-	together bool // all hear the same at once: less to search
-	died     int
-	most     int // the highest stage that was stored
-	obeyed   []([2]uint64)
+	now        int64
+	lease      *fake
+	parts      []*Part
+	entries    []fleet.Entry
+	acts       [][]fleet.Act
+	wrote      []uint64 // change that the file of the concluded target names, by process
+	mail       []fleet.Message
+	viewed     [2]string // what was last shown to those who claim, and to the others
+	drops      int
+	doubles    int
+	deaths     int
+	moves      int
+	refusals   int
+	worse      int // the stage that does worse
+	failpoints failpoints
+	program    bool
+	forgets    bool // a move of the lease loses its record
+	lossy      bool
+	together   bool // all hear the same at once: less to search
+	died       int
+	most       int // the highest stage that was stored
+	obeyed     []([2]uint64)
 }
 
 func (w *world) config(i int, running, concluded Target) Config {
@@ -98,12 +98,12 @@
 		tiny.Repeat = 1 << 50 // where nothing is lost, nothing is said twice: there is less to search
 	}
 	return Config{Name: w.entries[i].Name, Zone: "z", Lease: of{w.lease, w.entries[i].Name}, Running: running, Concluded: concluded,
-		Rules: tiny, doctor: w.doctor, oracle: func(s int) bool { return s == w.worse }}
+		Rules: tiny, failpoints: w.failpoints, oracle: func(s int) bool { return s == w.worse }}
 }
 
-func newWorld(n int, d doctor) *world {
+func newWorld(n int, d failpoints) *world {
 	w := &world{lease: &fake{}, parts: make([]*Part, n), entries: make([]fleet.Entry, n), acts: make([][]fleet.Act, n), wrote: make([]uint64, n),
-		obeyed: make([][2]uint64, n), worse: -1, doctor: d}
+		obeyed: make([][2]uint64, n), worse: -1, failpoints: d}
 	for i := range n {
 		w.entries[i] = fleet.Entry{Name: string(rune('a' + i)), Incarnation: 1, Zone: "z", State: fleet.Serving}
 		w.parts[i] = New(w.config(i, Target{}, Target{}))
@@ -217,7 +217,7 @@
 		_ = decode(m.Body, &s)
 		to := w.parts[at(m.To)]
 		if s.Order {
-			return !w.doctor.noFence && (s.Fence < to.fence || s.Fence == to.fence && s.Write < to.write)
+			return !w.failpoints.noFence && (s.Fence < to.fence || s.Fence == to.fence && s.Write < to.write)
 		}
 		return s.Fence != w.lease.fence || s.Write < w.lease.write
 	})
@@ -450,7 +450,7 @@
 }
 
 // opened is a world in which all have heard of each other, and the first was told of the change.
-func openedWorld(t testing.TB, n int, d doctor, set func(w *world)) *world {
+func openedWorld(t testing.TB, n int, d failpoints, set func(w *world)) *world {
 	w := newWorld(n, d)
 	set(w)
 	for i := range w.parts {
@@ -504,7 +504,7 @@
 		{"program, moves, worse", 3, func(w *world) { w.lossy, w.program, w.moves, w.worse = true, true, 1, One }},
 		{"four, moves, doubling, worse", 4, func(w *world) { w.moves, w.doubles, w.worse = 1, 1, One }},
 	} {
-		w := openedWorld(t, c.n, doctor{}, c.set)
+		w := openedWorld(t, c.n, failpoints{}, c.set)
 		bound := most
 		if w.together && w.moves == 0 {
 			bound = max(bound, 4000) // these are searched whole
--- a/internal/stage/slots.go
+++ b/internal/stage/slots.go
@@ -68,7 +68,7 @@
 				if z := zones[s.zone]; e.stage == All && (z == nil || z[c][m].den == 0) {
 					continue
 				}
-				if e.doctor.noPairs {
+				if e.failpoints.noPairs {
 					mu = e.steady[c][m]
 				}
 				if mu.den == 0 {
--- a/internal/stage/watch.go
+++ b/internal/stage/watch.go
@@ -31,18 +31,18 @@
 
 // watch is what a process knows of the others, from their entries.
 type watch struct {
-	self    string
-	peers   map[string]*peer
-	names   []string // of all ever seen that are not forgotten, sorted
-	list    []*peer  // the same
-	fence   uint64   // the highest that anybody tells, with the write under it
-	write   uint64
-	over    uint64 // the highest change that anybody knows to be over
-	running uint64 // the highest change that anybody conducts or is in
-	crashed uint64 // the change whose crashes are counted here, and how many this process saw
-	crashes uint64
-	who     string // the first of them
-	doctor  doctor
+	self       string
+	peers      map[string]*peer
+	names      []string // of all ever seen that are not forgotten, sorted
+	list       []*peer  // the same
+	fence      uint64   // the highest that anybody tells, with the write under it
+	write      uint64
+	over       uint64 // the highest change that anybody knows to be over
+	running    uint64 // the highest change that anybody conducts or is in
+	crashed    uint64 // the change whose crashes are counted here, and how many this process saw
+	crashes    uint64
+	who        string // the first of them
+	failpoints failpoints
 }
 
 // forget is after how long a name that is in no view any more is forgotten. Guards against names that are used once each.
@@ -132,7 +132,7 @@
 // lives counts a process that died while it was in a change: a later life of it has begun, and not the one that the change
 // starts. A process that was ending before, as its operators wanted, is none.
 func (w *watch) lives(m *fleet.Member, p *peer, next told) {
-	if m.Incarnation == p.life || p.life == 0 || p.told.Change == 0 || w.doctor.noCrash {
+	if m.Incarnation == p.life || p.life == 0 || p.told.Change == 0 || w.failpoints.noCrash {
 		return
 	}
 	c := p.told.Change
--- a/internal/stage/waves.go
+++ b/internal/stage/waves.go
@@ -57,7 +57,7 @@
 				p.halt(now, n+" refuses: "+c.whys[n], out)
 				return
 			}
-			if was := c.lives[n]; was != 0 && q != nil && q.life > was && !q.in(change) && !p.c.doctor.noCrash {
+			if was := c.lives[n]; was != 0 && q != nil && q.life > was && !q.in(change) && !p.c.failpoints.noCrash {
 				p.halt(now, n+" died in the change", out)
 				return
 			}
@@ -188,7 +188,7 @@
 	c := &p.conductor
 	change := c.rec.Target.Change
 	pl := &plan{rules: p.c.Rules, change: change, program: c.rec.Target.Program != p.concluded.Program || c.rec.Target.ProgramDigest != p.concluded.ProgramDigest, back: back, self: p.c.Name, stage: c.rec.Stage,
-		told: c.rec.Told, neighbours: p.c.Neighbours, doctor: p.c.doctor}
+		told: c.rec.Told, neighbours: p.c.Neighbours, failpoints: p.c.failpoints}
 	for _, n := range p.watch.names {
 		q := p.watch.peers[n]
 		if !q.known {
