--- a/internal/aggregate/aggregate_test.go
+++ b/internal/aggregate/aggregate_test.go
@@ -438,3 +438,50 @@
 		}
 	}
 }
+
+// A message of the life before is passed by also where it is the first that comes of its sender.
+func TestLifeBefore(t *testing.T) {
+	m, out := subscribed(t, 3)
+	bodies, _ := messages(2, &fleet.Window{Number: 9, Length: second})
+	if m.Message(1, fleet.Message{From: "b", Body: bodies[0]}, out); len(out.Heard) != 0 || m.counts.old != 1 {
+		t.Errorf("%d heard, %d passed by", len(out.Heard), m.counts.old)
+	}
+}
+
+// A subscriber that is suspected for a moment is not sent the history a second time.
+func TestHistoryIsSentOnce(t *testing.T) {
+	w := newWorld(3, nil)
+	w.want(0, true)
+	w.seconds(20)
+	for range 5 {
+		w.die(0)
+		w.seconds(1)
+		w.procs[0].dead, w.changed = false, true
+		w.seconds(4)
+	}
+	length := int64(0)
+	for _, h := range w.procs[0].heard {
+		if h.Name == "member-0001" {
+			length += h.Window.Length / second
+		}
+	}
+	if length > 45 || length < 35 {
+		t.Errorf("windows of %d s in 45 s", length)
+	}
+}
+
+// Only a serial that has grown renews a subscription.
+func TestSameSerialRenewsNothing(t *testing.T) {
+	m, out := New(Config{Self: "a"}), &fleet.Out{}
+	view := func(now, length int64, serial uint64) int {
+		asks := encode(subscription{Length: length, Serial: serial})
+		m.View(now, &fleet.View{Members: []fleet.Member{member("a", 1, nil), member("b", 1, asks)}}, out)
+		return len(m.sender.served)
+	}
+	if view(0, second, 2) != 1 || view(Lapse-1, 2*second, 2) != 1 || view(Lapse, 3*second, 2) != 0 {
+		t.Error("renewed by a length alone")
+	}
+	if view(Lapse+1, 3*second, 1) != 0 || view(Lapse+2, 3*second, 3) != 1 {
+		t.Error("not renewed by the next serial alone")
+	}
+}
