Take sent windows where those of an entry end, and leave a process's own to its views

Cause: once the last member of the version before is gone, windows that stood in entries give way to sent ones, which have numbers of their own and lower; the evidence passed them all by until the change was over. Change: where the newest number falls the evidence goes on from it. A process serves no subscription of its own, for its windows stand in its views, and EntryWindows goes, for the agent knows by the protocol who reads entries.

--- a/internal/aggregate/sender.go
+++ b/internal/aggregate/sender.go
@@ -60,8 +60,8 @@
 	for i := range v.Members {
 		member := &v.Members[i]
 		body := member.Parts[fleet.Figures]
-		if len(body) == 0 {
-			continue
+		if len(body) == 0 || member.Name == m.cfg.Self {
+			continue // a process's own windows stand in its views
 		}
 		r := s.requests[member.Name]
 		if r == nil || r.incarnation != member.Incarnation {
@@ -211,12 +211,6 @@
 	if v.number != 0 {
 		window.Number = v.number + 1
 	}
-	if v.name == m.cfg.Self {
-		out.Heard = append(out.Heard, fleet.HeardWindow{Name: m.cfg.Self, Incarnation: s.incarnation, Window: window})
-		m.counts.heard++
-		m.sent(now, v, window.Number)
-		return
-	}
 	bodies, shed := messages(s.incarnation, &window)
 	size := 0
 	for _, b := range bodies {
--- a/internal/stage/api.go
+++ b/internal/stage/api.go
@@ -102,8 +102,3 @@
 // stands in the notes: "opened", or "refused" where the lease's record shows a change that runs, or nobody grants
 // it in Rules.Ask.
 func (p *Part) Propose(now int64, t Target, out *fleet.Out) error { return p.propose(now, t, out) }
-
-// EntryWindows tells whether the running change is conducted by a process of the version before, which reads the
-// windows of figures that stand in entries and asks nobody for them: meanwhile this process has to write them
-// there.
-func (p *Part) EntryWindows() bool { return p.watch.readsEntries() }
--- a/internal/stage/evidence.go
+++ b/internal/stage/evidence.go
@@ -210,8 +210,13 @@
 		}
 		s.side, s.out, s.cells = is, true, nil
 	}
-	if n := len(m.Windows); e.fresh && e.asked && n > 0 {
-		s.last, s.seen = m.Windows[n-1].Number, true // they may be left from an earlier change, however long ago
+	if n := len(m.Windows); e.asked && n > 0 {
+		newest := m.Windows[n-1].Number
+		// What stands there when the evidence begins may be left from an earlier change, however long ago. Where the numbers
+		// fall, the windows stood in the process's entry before and are sent now: what they tell has been taken already.
+		if e.fresh || s.seen && newest < s.last {
+			s.last, s.seen = newest, true
+		}
 	}
 	for i := range m.Windows {
 		w := &m.Windows[i]
--- a/internal/stage/watch.go
+++ b/internal/stage/watch.go
@@ -18,7 +18,6 @@
 	known         bool  // stands in the newest view
 	told          told
 	raw           []byte // that told was read from
-	subscribes    bool   // asks for figures by message
 }
 
 // here tells that a process serves and is heard.
@@ -86,7 +85,6 @@
 			}
 			p.raw = b
 		}
-		p.subscribes = len(m.Parts[fleet.Figures]) > 0
 		w.lives(m, p, t)
 		p.life, p.version, p.state, p.told = m.Incarnation, m.Version, m.State, t
 		w.learn(t)
@@ -176,17 +174,6 @@
 	return 0
 }
 
-// readsEntries tells whether a process that is heard conducts the running change and does not ask for figures.
-func (w *watch) readsEntries() bool {
-	run := w.runs()
-	if run == 0 {
-		return false
-	}
-	return slices.ContainsFunc(w.list, func(p *peer) bool {
-		return p.known && !p.suspect && !p.subscribes && p.told.Conducts == run && !over(p.told.Phase)
-	})
-}
-
 // follows tells whether this is one of the few processes that would conduct a change after its conductor. The one
 // that is left alone in its version is none, for another has to tell it.
 func (w *watch) follows(change uint64) bool {
