--- a/internal/fleetsim/stages/mailed.go
+++ b/internal/fleetsim/stages/mailed.go
@@ -68,8 +68,8 @@
 	}
 }
 
-// shown is the view as one process has it: with the figures that it has heard.
-func (c *mailed) shown(i int, v *fleet.View) *fleet.View {
+// shown is the view as one process has it: with the figures that it has heard, and its own.
+func (c *mailed) shown(i int, v *fleet.View, windows []fleet.Window) *fleet.View {
 	if len(c.heard[i]) == 0 {
 		return v
 	}
@@ -79,6 +79,9 @@
 		if h := c.heard[i][m.Name]; h != nil && h.incarnation == m.Incarnation {
 			m.Windows = h.windows
 		}
+		if m.Name == own.Self {
+			m.Windows = windows
+		}
 	}
 	return own
 }
--- a/internal/fleetsim/stages/play.go
+++ b/internal/fleetsim/stages/play.go
@@ -215,7 +215,7 @@
 		p.seen[i] = true
 		shown := v
 		if p.calls != nil {
-			shown = p.calls.shown(i, v)
+			shown = p.calls.shown(i, v, w.procs[i].entry.Windows)
 		}
 		p.run(i, func(out *fleet.Out) { p.parts[i].View(w.now, shown, out) })
 	}
