--- a/internal/fleetsim/stages/play.go
+++ b/internal/fleetsim/stages/play.go
@@ -179,7 +179,8 @@
 // begin starts a life of a process.
 func (p *play) begin(i int, running, concluded stage.Target) {
 	w := p.w
-	c := stage.Config{Name: name(i), Zone: w.procs[i].entry.Zone, Lease: lessor{p.b, name(i)}, Running: running, Concluded: concluded, Rules: p.rules}
+	c := stage.Config{Name: name(i), Zone: w.procs[i].entry.Zone, Lease: lessor{p.b, name(i)}, Running: running,
+		Concluded: concluded, Rules: p.rules}
 	if p.calls != nil {
 		c.Figures = p.calls.begin(i, w.procs[i].entry.Incarnation)
 	}
@@ -214,7 +215,7 @@
 		p.seen[i] = true
 		shown := v
 		if p.calls != nil {
-			shown = p.calls.shown(i, v)
+			shown = p.calls.shown(i, v, w.procs[i].entry.Windows)
 		}
 		p.run(i, func(out *fleet.Out) { p.parts[i].View(w.now, shown, out) })
 	}
--- a/internal/stage/conductor.go
+++ b/internal/stage/conductor.go
@@ -195,7 +195,7 @@
 	if err != nil {
 		return // it is tried again in the next step, if the lease is still held
 	}
-	if p.c.doctor.tellsFirst {
+	if p.c.failpoints.tellsFirst {
 		c.rec, c.write, c.then = rec, w, then
 		p.stored(now, out)
 		return
@@ -304,8 +304,8 @@
 	}
 }
 
-// halt stops a change. Those who are being told just now stay in the wave: they are told to go back first, for the order that
-// they were given may still be on its way.
+// halt stops a change. Those who are being told just now stay in the wave: they are told to go back first, for the
+// order that they were given may still be on its way.
 func (p *Part) halt(now int64, reason string, out *fleet.Out) {
 	c := &p.conductor
 	rec := c.rec
--- a/internal/stage/evidence.go
+++ b/internal/stage/evidence.go
@@ -28,7 +28,10 @@
 // pair is a sum over its base: how many were refused, of how many.
 type pair struct{ num, den float64 }
 
-func (p *pair) add(q pair) { p.num += q.num; p.den += q.den }
+func (p *pair) add(q pair) {
+	p.num += q.num
+	p.den += q.den
+}
 
 func (p pair) share() float64 {
 	if p.den == 0 {
@@ -55,7 +58,13 @@
 // line is a straight line through a process's memory over time, by least squares.
 type line struct{ n, t, tt, m, tm float64 }
 
-func (l *line) add(t, m float64) { l.n++; l.t += t; l.tt += t * t; l.m += m; l.tm += t * m }
+func (l *line) add(t, m float64) {
+	l.n++
+	l.t += t
+	l.tt += t * t
+	l.m += m
+	l.tm += t * m
+}
 
 func (l line) slope() float64 {
 	d := l.n*l.tt - l.t*l.t
@@ -87,38 +96,48 @@
 	quiet                         int // slots in a row without a window
 }
 
-// evidence is what the figures of all processes say of old against new. The conductor keeps it, and those who would follow it.
+// evidence is what the figures of all processes say of old against new. The conductor keeps it, and those who would
+// follow it.
 type evidence struct {
-	rules    Rules
-	slot     int64 // how long a slot is now
-	asked    bool  // the figures come by message, in windows that may be longer than Rules.Warm
-	fresh    bool  // it has begun with this view
-	change   uint64
-	began    int64
-	slotEnd  int64
-	subjects map[string]*subject
-	names    []string // sorted
-	classes  []string
-	edge     [maxClasses]int     // of the histogram, next to the old 99th percentile; 0: not known
-	tail     [maxClasses]float64 // by how much the share over it grows, of itself, where that percentile is worse by its margin
-	edges    bool
-	waits    [maxClasses][32]float64 // of all, before the change
-	told     bool                    // somebody has been told: what comes is no longer of before
-	stage    int                     // that is judged; -1: none
-	since    int64
-	closed   int // slots, in all
-	slots    int
-	oldSum   [measures]pair
-	newSum   [measures]pair
-	tailSum  pair
-	apart    [growth][]float64        // how far apart the old ones were, by slot, sorted
-	steady   [maxClasses][growth]pair // for the doctor that does not pair: old figures before the change
-	broke    string                   // the first new process whose counters show a broken rule
-	doctor   doctor
+	rules      Rules
+	slot       int64 // how long a slot is now
+	asked      bool  // the figures come by message, in windows that may be longer than Rules.Warm
+	fresh      bool  // it has begun with this view
+	change     uint64
+	began      int64
+	slotEnd    int64
+	subjects   map[string]*subject
+	names      []string // sorted
+	classes    []string
+	edge       [maxClasses]int     // of the histogram, next to the old 99th percentile; 0: not known
+	tail       [maxClasses]float64 // by how much the share over it grows, of itself, where that percentile is worse by its margin
+	edges      bool
+	waits      [maxClasses][32]float64 // of all, before the change
+	told       bool                    // somebody has been told: what comes is no longer of before
+	stage      int                     // that is judged; -1: none
+	since      int64
+	closed     int // slots, in all
+	slots      int
+	oldSum     [measures]pair
+	newSum     [measures]pair
+	tailSum    pair
+	apart      [growth][]float64        // how far apart the old ones were, by slot, sorted
+	steady     [maxClasses][growth]pair // for the failpoint that does not pair: old figures before the change
+	broke      string                   // the first new process whose counters show a broken rule
+	failpoints failpoints
 }
 
-func newEvidence(r Rules, change uint64, now int64, d doctor) *evidence {
-	return &evidence{rules: r, slot: r.Slot, change: change, began: now, slotEnd: now + r.Slot, subjects: map[string]*subject{}, stage: -1, doctor: d}
+func newEvidence(r Rules, change uint64, now int64, d failpoints) *evidence {
+	return &evidence{
+		rules:      r,
+		slot:       r.Slot,
+		change:     change,
+		began:      now,
+		slotEnd:    now + r.Slot,
+		subjects:   map[string]*subject{},
+		stage:      -1,
+		failpoints: d,
+	}
 }
 
 // longSlot is the length of a slot where that hangs on how long windows are; else 0.
@@ -191,8 +210,13 @@
 		}
 		s.side, s.out, s.cells = is, true, nil
 	}
-	if n := len(m.Windows); e.fresh && e.asked && n > 0 {
-		s.last, s.seen = m.Windows[n-1].Number, true // they may be left from an earlier change, however long ago
+	if n := len(m.Windows); e.asked && n > 0 {
+		newest := m.Windows[n-1].Number
+		// What stands there when the evidence begins may be left from an earlier change, however long ago. Where the numbers
+		// fall, the windows stood in the process's entry before and are sent now: what they tell has been taken already.
+		if e.fresh || s.seen && newest < s.last {
+			s.last, s.seen = newest, true
+		}
 	}
 	for i := range m.Windows {
 		w := &m.Windows[i]
--- a/internal/stage/figures_test.go
+++ b/internal/stage/figures_test.go
@@ -34,7 +34,8 @@
 	p := New(Config{Name: "a", Lease: of{&fake{}, "a"}, Figures: a})
 	g := &gatherer{Part: p, asker: a}
 	for _, name := range []string{"a", "b", "c", "d"} {
-		g.view.Members = append(g.view.Members, fleet.Member{Entry: fleet.Entry{Name: name, Incarnation: 1, Version: 1, Zone: "z", State: fleet.Serving}})
+		e := fleet.Entry{Name: name, Incarnation: 1, Version: 1, Zone: "z", State: fleet.Serving}
+		g.view.Members = append(g.view.Members, fleet.Member{Entry: e})
 	}
 	p.conductor.claimed, p.conductor.holds = true, true
 	p.conductor.rec = record{Target: Target{Change: change, Settings: "x"}, Phase: running}
@@ -51,7 +52,8 @@
 }
 
 func calls(number uint64, length int64, offered uint64) fleet.Window {
-	return fleet.Window{Number: number, Length: length, Class: []fleet.ClassFigures{{Name: "x", Offered: offered, Served: offered}}}
+	class := fleet.ClassFigures{Name: "x", Offered: offered, Served: offered}
+	return fleet.Window{Number: number, Length: length, Class: []fleet.ClassFigures{class}}
 }
 
 // Figures are asked for as long as evidence is kept, and no longer.
@@ -78,7 +80,12 @@
 
 // A slot holds a window of each process, however long windows are; with short ones it is as the rules have it.
 func TestSlotFollowsTheWindows(t *testing.T) {
-	for _, c := range []struct{ length, want int64 }{{second, 10 * second}, {8 * second, 10 * second}, {22 * second, 27_500_000}, {37 * second, 46_250_000}} {
+	for _, c := range []struct{ length, want int64 }{
+		{second, 10 * second},
+		{8 * second, 10 * second},
+		{22 * second, 27_500_000},
+		{37 * second, 46_250_000},
+	} {
 		g := newGatherer(c.length)
 		g.show(second)
 		e := g.conductor.evidence
@@ -94,12 +101,13 @@
 		}
 	}
 	p := New(Config{Name: "a"})
-	if p.slot() != 10*second || newEvidence(p.c.Rules, 1, 0, doctor{}).longSlot() != 0 {
+	if p.slot() != 10*second || newEvidence(p.c.Rules, 1, 0, failpoints{}).longSlot() != 0 {
 		t.Error("windows in entries change the slot")
 	}
 }
 
-// What stands in the view when the evidence begins may be of any time before, and counts for nothing; what comes then does.
+// What stands in the view when the evidence begins may be of any time before, and counts for nothing; what comes
+// then does.
 func TestOldWindowsCountForNothing(t *testing.T) {
 	g := newGatherer(22 * second)
 	g.show(second, calls(1, 22*second, 1000), calls(2, 22*second, 1000))
@@ -154,25 +162,18 @@
 	}
 }
 
-// A conductor that asks for no figures reads those of entries: a process of the version before.
-func TestEntryWindows(t *testing.T) {
-	g := newGatherer(second)
-	c := &g.view.Members[2]
-	say := func(phase uint8, subscription []byte) bool {
-		c.Parts = map[fleet.Kind][]byte{fleet.Stage: encode(told{Conducts: change, Phase: phase}), fleet.Figures: subscription}
-		c.Version++
-		g.show(second)
-		return g.EntryWindows()
-	}
-	if g.EntryWindows() || !say(running, nil) || say(running, []byte{1}) || !say(goingBack, nil) {
-		t.Error("who conducts and does not ask is not told from who does")
-	}
-	c.Suspect = true
-	if say(running, nil) {
-		t.Error("written for one that is not heard")
+// Windows that stood in a process's entry, and those that it then sends, are counted apart: where the entry's end, the sent
+// ones that come from then on are taken.
+func TestWindowsCountedAnew(t *testing.T) {
+	g := newGatherer(22 * second)
+	g.show(second)
+	s := g.conductor.evidence.subjects["b"]
+	g.show(2*second, calls(500, second, 1), calls(501, second, 2))
+	g.show(3*second, calls(7, 22*second, 100), calls(8, 22*second, 100))
+	if s.offered != 3 {
+		t.Fatalf("%g calls", s.offered)
 	}
-	c.Suspect = false
-	if say(concluded, nil) {
-		t.Error("written when the change is over")
+	if g.show(4*second, calls(8, 22*second, 100), calls(9, 22*second, 10)); s.offered != 13 {
+		t.Errorf("%g calls", s.offered)
 	}
 }
--- a/internal/stage/watch.go
+++ b/internal/stage/watch.go
@@ -18,7 +18,6 @@
 	known         bool  // stands in the newest view
 	told          told
 	raw           []byte // that told was read from
-	subscribes    bool   // asks for figures by message
 }
 
 // here tells that a process serves and is heard.
@@ -31,21 +30,22 @@
 
 // watch is what a process knows of the others, from their entries.
 type watch struct {
-	self    string
-	peers   map[string]*peer
-	names   []string // of all ever seen that are not forgotten, sorted
-	list    []*peer  // the same
-	fence   uint64   // the highest that anybody tells, with the write under it
-	write   uint64
-	over    uint64 // the highest change that anybody knows to be over
-	running uint64 // the highest change that anybody conducts or is in
-	crashed uint64 // the change whose crashes are counted here, and how many this process saw
-	crashes uint64
-	who     string // the first of them
-	doctor  doctor
+	self       string
+	peers      map[string]*peer
+	names      []string // of all ever seen that are not forgotten, sorted
+	list       []*peer  // the same
+	fence      uint64   // the highest that anybody tells, with the write under it
+	write      uint64
+	over       uint64 // the highest change that anybody knows to be over
+	running    uint64 // the highest change that anybody conducts or is in
+	crashed    uint64 // the change whose crashes are counted here, and how many this process saw
+	crashes    uint64
+	who        string // the first of them
+	failpoints failpoints
 }
 
-// forget is after how long a name that is in no view any more is forgotten. Guards against names that are used once each.
+// forget is after how long a name that is in no view any more is forgotten. Guards against names that are used once
+// each.
 const forget = 3600 * second
 
 // view reads a view.
@@ -85,7 +85,6 @@
 			}
 			p.raw = b
 		}
-		p.subscribes = len(m.Parts[fleet.Figures]) > 0
 		w.lives(m, p, t)
 		p.life, p.version, p.state, p.told = m.Incarnation, m.Version, m.State, t
 		w.learn(t)
@@ -129,10 +128,10 @@
 	}
 }
 
-// lives counts a process that died while it was in a change: a later life of it has begun, and not the one that the change
-// starts. A process that was ending before, as its operators wanted, is none.
+// lives counts a process that died while it was in a change: a later life of it has begun, and not the one that the
+// change starts. A process that was ending before, as its operators wanted, is none.
 func (w *watch) lives(m *fleet.Member, p *peer, next told) {
-	if m.Incarnation == p.life || p.life == 0 || p.told.Change == 0 || w.doctor.noCrash {
+	if m.Incarnation == p.life || p.life == 0 || p.told.Change == 0 || w.failpoints.noCrash {
 		return
 	}
 	c := p.told.Change
@@ -175,19 +174,8 @@
 	return 0
 }
 
-// readsEntries tells whether a process that is heard conducts the running change and does not ask for figures.
-func (w *watch) readsEntries() bool {
-	run := w.runs()
-	if run == 0 {
-		return false
-	}
-	return slices.ContainsFunc(w.list, func(p *peer) bool {
-		return p.known && !p.suspect && !p.subscribes && p.told.Conducts == run && !over(p.told.Phase)
-	})
-}
-
-// follows tells whether this is one of the few processes that would conduct a change after its conductor. The one that is left
-// alone in its version is none, for another has to tell it.
+// follows tells whether this is one of the few processes that would conduct a change after its conductor. The one
+// that is left alone in its version is none, for another has to tell it.
 func (w *watch) follows(change uint64) bool {
 	const few = 3
 	me := w.peers[w.self]
--- a/internal/stage/waves.go
+++ b/internal/stage/waves.go
@@ -40,7 +40,8 @@
 	p.judge(now, out)
 }
 
-// follow sees to it that all of a wave do what they were told: it repeats the order, and lets those go who are cut off.
+// follow sees to it that all of a wave do what they were told: it repeats the order, and lets those go who are cut
+// off.
 func (p *Part) follow(now int64, verb string, out *fleet.Out) {
 	c := &p.conductor
 	change := c.rec.Target.Change
@@ -57,7 +58,7 @@
 				p.halt(now, n+" refuses: "+c.whys[n], out)
 				return
 			}
-			if was := c.lives[n]; was != 0 && q != nil && q.life > was && !q.in(change) && !p.c.doctor.noCrash {
+			if was := c.lives[n]; was != 0 && q != nil && q.life > was && !q.in(change) && !p.c.failpoints.noCrash {
 				p.halt(now, n+" died in the change", out)
 				return
 			}
@@ -188,7 +189,7 @@
 	c := &p.conductor
 	change := c.rec.Target.Change
 	pl := &plan{rules: p.c.Rules, change: change, program: c.rec.Target.Program != p.concluded.Program || c.rec.Target.ProgramDigest != p.concluded.ProgramDigest, back: back, self: p.c.Name, stage: c.rec.Stage,
-		told: c.rec.Told, neighbours: p.c.Neighbours, doctor: p.c.doctor}
+		told: c.rec.Told, neighbours: p.c.Neighbours, failpoints: p.c.failpoints}
 	for _, n := range p.watch.names {
 		q := p.watch.peers[n]
 		if !q.known {
