--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -284,7 +284,7 @@
 		name, spread, err := a.registry.Take(a.now, e.Bytes)
 		a.passedBy(err)
 		if spread != nil {
-			a.passOn(name, fleet.Coded{Entry: spread})
+			a.passOn(name, fleet.Coded{Entry: spread}, e.Passed)
 		}
 	case fleetnet.Update:
 		if failpoint.On("deaf-own") && updateOfName(e.Bytes, a.cfg.Self) {
@@ -293,7 +293,7 @@
 		name, spread, err := a.registry.TakeUpdate(a.now, e.Bytes)
 		a.passedBy(err)
 		if spread != nil {
-			a.passOn(name, *spread)
+			a.passOn(name, *spread, e.Passed)
 		}
 	case fleetnet.Root:
 		a.repair.Root(a.now, e.Name, e.Digest, &a.out)
@@ -314,8 +314,13 @@
 	a.log.Warn("entry passed by", "error", err, advice.Attr(err))
 }
 
-// passOn spreads what was news. Where it is of this process itself, that had to take a higher incarnation.
-func (a *Agent) passOn(name string, newest fleet.Coded) {
+// passOn spreads what was news, unless it came by repair: then others know it. Where it is of this process itself, that had to
+// take a higher incarnation.
+func (a *Agent) passOn(name string, newest fleet.Coded, passed bool) {
+	if passed && name != a.cfg.Self {
+		a.cfg.Net.Keep(name, newest)
+		return
+	}
 	a.cfg.Net.Spread(name, newest)
 	if name == a.cfg.Self && a.make == 0 { // the modules' messages were those of a lower one
 		a.log.Info("a later life under this name is taken", "life", a.registry.Own().Incarnation)
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -29,6 +29,7 @@
 	events  chan fleetnet.Event
 	own     fleet.Coded
 	passed  map[string]int
+	kept    []string // what was noted and not passed on
 	direct  []string // to whom entries were passed
 	refused atomic.Uint64
 	root    uint64
@@ -74,6 +75,11 @@
 	}
 	return &other.View(2).Member("a").Entry
 }
+func (n *fakeNet) Keep(name string, _ fleet.Coded) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.kept = append(n.kept, name)
+}
 func (n *fakeNet) Pass(to string, known fleet.Coded) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -418,6 +424,13 @@
 		if e := n.entry(t); e.Settings != 20 || string(e.Parts[fleet.Lease]) != "new" {
 			t.Errorf("%+v", e)
 		}
+		b := fleet.NewRegistry(fleet.Entry{Name: "b", Incarnation: 1, State: fleet.Serving, Protocol: fleet.ProtocolHeads})
+		n.events <- fleetnet.Event{Kind: fleetnet.Entry, Bytes: b.Write(func(*fleet.Entry) {}), Passed: true}
+		n.events <- fleetnet.Event{Kind: fleetnet.Entry, Bytes: b.Write(func(*fleet.Entry) {})}
+		synctest.Wait()
+		if n.passed["b"] != 1 || len(n.kept) != 1 || n.kept[0] != "b" {
+			t.Errorf("what came by repair is spread: %d times spread, %v kept", n.passed["b"], n.kept)
+		}
 		n.events <- fleetnet.Event{Kind: fleetnet.Root, Name: "b", Digest: 1}
 		synctest.Wait()
 		if len(n.sent) != 1 || n.sent[0].Kind != fleet.Repair || n.sent[0].To != "b" {
--- a/internal/fleetnet/delegate.go
+++ b/internal/fleetnet/delegate.go
@@ -37,13 +37,15 @@
 	n.budget.spend(class, dissemination.In, len(b)+around+datagramHeader)
 	switch {
 	case e.Entry != nil:
-		n.entry(e.Entry)
+		n.entry(e.Entry, false)
+	case len(e.Entries)+len(e.Updates) > 0 && e.To != "" && e.To != n.cfg.Self:
+		n.counts.misled.Add(1)
 	case len(e.Entries)+len(e.Updates) > 0:
 		for _, entry := range e.Entries {
-			n.entry(entry)
+			n.entry(entry, e.To != "")
 		}
 		for _, update := range e.Updates {
-			n.update(update)
+			n.update(update, e.To != "")
 		}
 	case e.Kind == 0 || e.From == "" || len(e.From) > fleet.MaxName || len(e.Body) > fleet.MaxBody:
 		n.counts.garbage.Add(1)
@@ -56,7 +58,7 @@
 }
 
 // entry hands a coded entry over, unread.
-func (n *member) entry(b []byte) {
+func (n *member) entry(b []byte, passed bool) {
 	if len(b) == 0 || len(b) > fleet.MaxEntry {
 		n.counts.garbage.Add(1)
 		return
@@ -65,11 +67,11 @@
 	if failpoint.On("net-deaf") {
 		return
 	}
-	n.came(Event{Kind: Entry, Bytes: b})
+	n.came(Event{Kind: Entry, Bytes: b, Passed: passed})
 }
 
 // update hands a coded update over, unread.
-func (n *member) update(b []byte) {
+func (n *member) update(b []byte, passed bool) {
 	if len(b) == 0 || len(b) > fleet.MaxUpdate {
 		n.counts.garbage.Add(1)
 		return
@@ -78,7 +80,7 @@
 	if failpoint.On("net-deaf") {
 		return
 	}
-	n.came(Event{Kind: Update, Bytes: b})
+	n.came(Event{Kind: Update, Bytes: b, Passed: passed})
 }
 
 // LocalState gives memberlist what it exchanges of ours with one other: all that is known to who joins, else nothing, for
@@ -109,9 +111,9 @@
 
 // MergeRemoteState takes what LocalState gave another, from memberlist.
 func (n *member) MergeRemoteState(b []byte, _ bool) {
-	rest, ok := n.each(b, n.entry)
+	rest, ok := n.each(b, func(entry []byte) { n.entry(entry, false) })
 	if ok && len(rest) > 0 {
-		_, _ = n.each(rest, n.update)
+		_, _ = n.each(rest, func(update []byte) { n.update(update, false) })
 	}
 }
 
--- a/internal/fleetnet/gossip.go
+++ b/internal/fleetnet/gossip.go
@@ -72,12 +72,19 @@
 	n.queue.Put(name, item)
 }
 
+// Keep implements Net.
+func (n *member) Keep(name string, newest fleet.Coded) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.known[name] = newest
+}
+
 // Pass implements Net.
 func (n *member) Pass(to string, known fleet.Coded) error {
 	if n.older.Load() {
 		return n.post(to, dissemination.Settings, envelope{Entry: known.Entry})
 	}
-	e := envelope{Entries: [][]byte{known.Entry}}
+	e := envelope{To: to, Entries: [][]byte{known.Entry}}
 	if known.Update != nil {
 		e.Updates = [][]byte{known.Update}
 	}
--- a/internal/fleetnet/net.go
+++ b/internal/fleetnet/net.go
@@ -25,6 +25,8 @@
 	Send(m fleet.Message) error
 	// Spread passes the newest of a process on to all, in place of what was passed on of that name before.
 	Spread(name string, newest fleet.Coded)
+	// Keep notes the newest of a process, for those who join, without passing it on.
+	Keep(name string, newest fleet.Coded)
 	// Pass sends what is known of a process to one other. The error says only that it was not sent.
 	Pass(to string, known fleet.Coded) error
 	// Root says by which digest of all entries the probes of others are answered from now on. One that differs comes as Root.
@@ -69,6 +71,7 @@
 	Name   string
 	Msg    fleet.Message
 	Bytes  []byte
+	Passed bool // an Entry or Update that was sent to this process alone, by Pass: others know it
 	Digest uint64
 }
 
