--- a/internal/scaletest/bounds_test.go
+++ b/internal/scaletest/bounds_test.go
@@ -6,21 +6,21 @@
 	"time"
 )
 
-// What a member may cost, in bytes and counts a second, as a mean over the fleet. It is what is spread that costs:
-// bounded by its pace, whatever the size of the fleet.
+// What a member may cost while nothing changes, in bytes and counts a second, as a mean over the fleet: probes, answers and
+// heartbeats, and now and then an exchange of the membership's states.
 var bounds = map[Counter]float64{
-	DatagramBytesIn:  300_000,
-	DatagramBytesOut: 300_000,
-	DatagramsIn:      80,
-	DatagramsOut:     80,
-	StreamBytesIn:    300_000,
-	StreamBytesOut:   300_000,
-	StreamsIn:        3,
-	StreamsOut:       3,
+	DatagramBytesIn:  2_500,
+	DatagramBytesOut: 2_500,
+	DatagramsIn:      30,
+	DatagramsOut:     30,
+	StreamBytesIn:    2_000,
+	StreamBytesOut:   2_000,
+	StreamsIn:        0.5,
+	StreamsOut:       0.5,
 }
 
-// settled is how long it is waited for entries that hold all windows: they take 15 s with 60 members.
-const settled = 20 * time.Second
+// settled is how long after the start a fleet is taken for quiet.
+const settled = 10 * time.Second
 
 // A fleet that is quiet costs each member no more than it may.
 func TestBounds(t *testing.T) {
@@ -28,8 +28,7 @@
 		t.Run(strconv.Itoa(members), func(t *testing.T) {
 			t.Parallel()
 			f := start(t, Spec{Members: members, Seed: 1})
-			full := f.AwaitFull(settled) // on a machine with other work it may not come; the bounds hold all the same
-			t.Logf("%d of %d entries hold all windows", len(full.Took), full.Of)
+			time.Sleep(settled)
 			s := f.Measure(4 * time.Second)
 			for c, most := range bounds {
 				if got := s.Rates[c].Mean; got > most {
