Call on others at once at the start

Need: TestPlanted failed: a member that starts waited an eighth to three eighths of a second before its first call, so one that was killed meanwhile had been heard by nobody. Change: the first call has no pause before it.

--- a/internal/fleetnet/join.go
+++ b/internal/fleetnet/join.go
@@ -49,12 +49,17 @@
 // are needed, and all members that see each other make them: each waits longer from call to call, and a large fleet, whose
 // states are large, longer still. Who comes to be seen makes the waits short again, for those that gossip leaves out.
 type pacer struct {
+	begun  bool
 	joined uint64 // how many had come to be seen when the waits were short
 	waits  float64
 }
 
 // next is the wait before the next call, in the mean.
 func (p *pacer) next(rejoin time.Duration, away, others int, joined uint64) time.Duration {
+	if !p.begun {
+		p.begun = true
+		return 0 // a start: there is nobody to wait for
+	}
 	if others == 0 {
 		return rejoin / 4
 	}
--- a/internal/fleetnet/net_test.go
+++ b/internal/fleetnet/net_test.go
@@ -478,6 +478,9 @@
 	}{{0, 23, time.Second, time.Second}, {23, 0, time.Second / 4, time.Second / 4}, {3, 20, 2622 * time.Millisecond, 55 * time.Second}, {255, 254, 8223 * time.Millisecond, 541 * time.Second}} {
 		var p pacer
 		next := func(joined uint64) time.Duration { return p.next(time.Second, c.away, c.others, joined) }
+		if wait := next(7); wait != 0 {
+			t.Errorf("the first call waits for %s", wait)
+		}
 		first := next(7)
 		for range 20 {
 			next(7)
