Wait in a planted fault for what repair tells, not for entries that no longer pass

Need: the planted fault of an earlier life waited for twenty entries more; entries spread on change alone now, so none came. Change: it waits until the process has asked three times about the digest that differs, which it does as long as the fault holds.

--- a/internal/fleettest/planted_test.go
+++ b/internal/fleettest/planted_test.go
@@ -60,8 +60,8 @@
 			f.Process[1].Failpoints = "clock=-1h"
 			f.Process[1].Start()
 			f.Process[1].Ready()
-			heard := f.Process[0].Figure("fleet_entries_heard")
-			f.Until("entries pass", func() bool { return f.Process[0].Figure("fleet_entries_heard") > heard+20 })
+			// Entries spread on change alone; what it does not take of itself it is told again by repair.
+			f.Until("it is told of its earlier life", func() bool { return f.Process[1].Figure("repair_asks") >= 3 })
 		}, "views: "},
 		"entries that nobody takes": {"net-deaf", "", func(f *Fleet) {
 			f.Until("entries pass", func() bool { return f.Process[0].Figure("fleet_entries_heard") > 20 })
