Put together only the message that is split between two reads

Now it appends what that message lacks (wire.Missing) and goes on in what came. Without it TestOnlyASplitMessageIsPutTogether prints '601936 bytes were copied again of 651992 in 10 reads'.

--- a/internal/session/exchange_test.go
+++ b/internal/session/exchange_test.go
@@ -620,3 +620,29 @@
 }
 
 var _ state.Conn = (*fakeConn)(nil)
+
+// Long messages that come many in one read: only the one that is split is put together, not all that came with it.
+func TestOnlyASplitMessageIsPutTogether(t *testing.T) {
+	p := newPlayer(t)
+	p.step()
+	p.play("5 a open")
+	long := wire.Message{Type: wire.TypeProgress, Call: 1, Params: []wire.Param{{Code: 99, Value: make([]byte, 16<<10-100)}}}
+	var all []byte
+	for range 40 {
+		all, _ = long.Append(all)
+	}
+	all = append(all, parse(t, upFor(1, 0))...)
+	before, reads := p.s.Counters[state.Copied], uint64(0)
+	for came := range slices.Chunk(all, 64<<10) {
+		p.now += 1000
+		p.step(Arrival{Kind: Data, At: p.now, Conn: p.conns["a"], Data: came})
+		reads++
+	}
+	beside := p.s.Counters[state.Copied] - before - uint64(len(all)) // all that comes is copied once on its way
+	if beside > reads*wire.MaxMessage {
+		t.Errorf("%d bytes were copied again of %d in %d reads", beside, len(all), reads)
+	}
+	if !p.wroteFor("o1", 1, 1) {
+		t.Errorf("the set-up behind them was not read:\n%s", strings.Join(p.lines, "\n"))
+	}
+}
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -518,9 +518,11 @@
 // message can have ends the connection: where the next message would begin is not known.
 func (s *Session) read(a Arrival, rest []byte, each func(wire.Message)) []byte {
 	buf, whole := a.Data, false // good for this round
+	var behind []byte           // what came behind the message that had begun, which alone is put together
 	if len(rest) > 0 {
-		s.Counters[state.Copied] += uint64(len(a.Data))
-		buf = append(rest, a.Data...)
+		part := min(len(a.Data), wire.Missing(rest, a.Data))
+		s.Counters[state.Copied] += uint64(part)
+		buf, behind = append(rest, a.Data[:part]...), a.Data[part:]
 	}
 	for ; ; whole = true {
 		if s.roles[a.Conn] == nil {
@@ -540,6 +542,10 @@
 			}
 			return nil
 		}
+		if n == 0 && len(buf) == 0 && len(behind) > 0 {
+			buf, behind = behind, nil
+			continue
+		}
 		if n == 0 {
 			if !whole && len(rest) > 0 {
 				return buf // it has grown, and that is all
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -104,6 +104,20 @@
 	return m, 2 + size, nil
 }
 
+// Missing is how many bytes a message that has begun still needs to be whole; next, what has come behind them, may hold the
+// rest of its length. Where not even that has come, it is all that has.
+func Missing(begun, next []byte) int {
+	const length = 2
+	have := len(begun)
+	if have < length {
+		if have+len(next) < length {
+			return len(next)
+		}
+		begun = append(begun[:have:have], next[:length-have]...)
+	}
+	return max(length-have, length+int(binary.BigEndian.Uint16(begun))-have)
+}
+
 // Append writes the message behind b.
 func (m Message) Append(b []byte) ([]byte, error) {
 	size := messageHead
--- a/internal/wire/message_test.go
+++ b/internal/wire/message_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"slices"
 	"testing"
 
 	"pewterwheel/decide"
@@ -126,3 +127,25 @@
 		}
 	}
 }
+
+// A message that is split anywhere is whole with what is missing of it, and not before.
+func TestMissing(t *testing.T) {
+	message, err := Message{Type: TypeProgress, Call: 1, Params: []Param{Text(ParamLoad, "free:1")}}.Append(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	both := append(slices.Clone(message), message...)
+	for split := 1; split < len(message); split++ {
+		for came := 1; came <= len(both)-split; came++ {
+			begun, next := both[:split:split], both[split:split+came]
+			part := min(len(next), Missing(begun, next))
+			_, n, err := Next(slices.Concat(begun, next[:part]))
+			if whole := split+came >= len(message); err != nil || (n > 0) != whole || whole && part != len(message)-split || !whole && part != came {
+				t.Fatalf("split at %d, %d more came: %d taken, a message of %d, %v", split, came, part, n, err)
+			}
+		}
+	}
+	if n := Missing([]byte{0}, []byte{0, 1, 2}); n != 1 {
+		t.Errorf("%d bytes are missing to tell that no message is so short", n)
+	}
+}
