Pass copies of gossip by unread, and probe and view more seldom in a large fleet

Change: the time between probes and to answer one grows with the members of the settings (1 + n/200), so does the time between two views; a copy of an entry or update that came lately is passed by before it is read.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -179,7 +179,7 @@
 	}
 	at = min(at, a.tellAt())
 	if a.registry.Changed() {
-		return min(at, a.seen+minInterval)
+		return min(at, a.seen+a.viewInterval())
 	}
 	return min(at, a.seen+judgeInterval)
 }
@@ -215,7 +215,7 @@
 	if a.now >= a.tellAt() {
 		a.tell()
 	}
-	if a.now-a.seen >= minInterval {
+	if a.now-a.seen >= a.viewInterval() {
 		a.look()
 	}
 	if root, _ := a.registry.Digest(); root != a.root {
@@ -224,6 +224,9 @@
 	}
 }
 
+// viewInterval is the time between two views at least: a view shows all members, so it is made more seldom where there are many.
+func (a *Agent) viewInterval() int64 { return minInterval * a.registry.IntervalFactor() }
+
 // look makes a view, if anything has changed, and shows it to all modules.
 func (a *Agent) look() {
 	a.seen = a.now
--- a/internal/fleetnet/delegate.go
+++ b/internal/fleetnet/delegate.go
@@ -64,6 +64,9 @@
 		return
 	}
 	n.counts.entries.Add(1)
+	if !passed && n.repeats.again(b) {
+		return
+	}
 	if failpoint.On("net-deaf") {
 		return
 	}
@@ -77,6 +80,9 @@
 		return
 	}
 	n.counts.updates.Add(1)
+	if !passed && n.repeats.again(b) {
+		return
+	}
 	if failpoint.On("net-deaf") {
 		return
 	}
--- a/internal/fleetnet/net.go
+++ b/internal/fleetnet/net.go
@@ -109,6 +109,8 @@
 	frame = 1400
 	// gossipNodes is how many others are told in each gossip, by memberlist of the membership and by this package of entries.
 	gossipNodes = 3
+	// membersPerProbe is how many members make the time between probes, and that to answer one, longer by their usual lengths.
+	membersPerProbe = 200
 	// membershipMultiplier times log10 of the members is how often memberlist repeats what it spreads.
 	membershipMultiplier = 3
 	// maxStreams bounds the connections that are taken in at once, and streamWithin how long one may take to say whose it is.
@@ -152,6 +154,7 @@
 	decode    cbor.DecMode
 	counts    counts
 	budget    *account
+	repeats   repeats
 	seen      atomic.Int64  // others that the membership sees
 	joined    atomic.Uint64 // times that another came to be seen
 	root      atomic.Uint64 // of this process's entries
@@ -166,10 +169,12 @@
 // Open listens and begins to join the others, which goes on until all that are named are seen, and again whenever one is
 // not. The error is a *BindError or a *ConfigError.
 func Open(cfg Config) (Net, error) {
+	// A large fleet has more to say of whom it suspects, and a wrong suspicion costs it more: probes are rarer there, and wait longer.
+	size := 1 + float64(len(cfg.Names))/membersPerProbe
 	for _, d := range []struct {
 		at    *int64
 		usual int64
-	}{{&cfg.Probe, usualProbe}, {&cfg.ProbeTimeout, usualProbeTimeout}, {&cfg.Gossip, usualGossip}, {&cfg.PushPull, usualPushPull}, {&cfg.Rejoin, usualRejoin}} {
+	}{{&cfg.Probe, int64(usualProbe * size)}, {&cfg.ProbeTimeout, int64(usualProbeTimeout * size)}, {&cfg.Gossip, usualGossip}, {&cfg.PushPull, usualPushPull}, {&cfg.Rejoin, usualRejoin}} {
 		if *d.at == 0 {
 			*d.at = d.usual
 		}
@@ -224,6 +229,7 @@
 func (n *member) Figures(put func(name string, v uint64, gauge bool)) {
 	c := &n.counts
 	put("fleet_seen", uint64(n.Seen()), true)
+	put("fleet_repeats", n.repeats.count(), false)
 	for _, f := range []struct {
 		name string
 		n    *atomic.Uint64
