--- a/internal/fleet/update_test.go
+++ b/internal/fleet/update_test.go
@@ -59,12 +59,11 @@
 
 // shownBy is how a registry shows a process.
 func shownBy(t *rapid.T, b *Registry, name string) Entry {
-	m := b.View(2).Member(name)
-	if m == nil {
-		t.Fatalf("%s is not shown", name)
+	if m := b.View(2).Member(name); m != nil {
+		return m.Entry
 	}
-	m.Entry.rest = nil
-	return m.Entry
+	t.Fatalf("%s is not shown", name)
+	return Entry{}
 }
 
 // Whatever order entries and updates come in, and however often, nothing older is ever shown than what is known, and what
--- a/internal/keeper/front.go
+++ b/internal/keeper/front.go
@@ -75,7 +75,7 @@
 // Avoids tells whether the module leaves a listed server alone now.
 func (f *Front) Avoids(id decide.ServerID) bool { return f.inner.Avoids(id) }
 
-// HearsEnds: the ends of calls that stood give lines back.
+// HearsEnds tells that the ends of calls that stood are of use: they give lines back.
 func (f *Front) HearsEnds() bool { return true }
 
 // Reload passes a part of a new configuration on.
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -104,7 +104,7 @@
 // Start takes the first time.
 func (p *Part) Start(now int64, out *fleet.Out) { p.now, p.weighed, p.booked = now, now, now }
 
-// Done: the part has no acts.
+// Done does nothing: the part has no acts.
 func (p *Part) Done(now int64, a fleet.Act, err error, out *fleet.Out) {}
 
 // Message takes what an other process tells. What cannot be read is counted and passed over.
