--- a/internal/fleetnet/delegate.go
+++ b/internal/fleetnet/delegate.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/memberlist"
@@ -59,34 +60,25 @@
 
 // entry hands a coded entry over, unread.
 func (n *member) entry(b []byte, passed bool) {
-	if len(b) == 0 || len(b) > fleet.MaxEntry {
-		n.counts.garbage.Add(1)
-		return
-	}
-	n.counts.entries.Add(1)
-	if !passed && n.repeats.again(b) {
-		return
-	}
-	if failpoint.On("net-deaf") {
-		return
-	}
-	n.came(Event{Kind: Entry, Bytes: b, Passed: passed})
+	n.hand(Event{Kind: Entry, Bytes: b, Passed: passed}, fleet.MaxEntry, &n.counts.entries)
 }
 
 // update hands a coded update over, unread.
 func (n *member) update(b []byte, passed bool) {
-	if len(b) == 0 || len(b) > fleet.MaxUpdate {
+	n.hand(Event{Kind: Update, Bytes: b, Passed: passed}, fleet.MaxUpdate, &n.counts.updates)
+}
+
+// hand hands over what is of a size that it may have, and is no copy of what gossip brought lately.
+func (n *member) hand(e Event, most int, heard *atomic.Uint64) {
+	if len(e.Bytes) == 0 || len(e.Bytes) > most {
 		n.counts.garbage.Add(1)
 		return
 	}
-	n.counts.updates.Add(1)
-	if !passed && n.repeats.again(b) {
-		return
-	}
-	if failpoint.On("net-deaf") {
+	heard.Add(1)
+	if !e.Passed && n.repeats.again(e.Bytes) || failpoint.On("net-deaf") {
 		return
 	}
-	n.came(Event{Kind: Update, Bytes: b, Passed: passed})
+	n.came(e)
 }
 
 // LocalState gives memberlist what it exchanges of ours with one other: all that is known to who joins, else nothing, for
