Measure one second at least, however long the counting takes

Need: at 510 members on four cores counting took longer than the stretch, and its means were NaN. Change: the measuring goes on until one second is counted. Measured: TestBounds, TestFit, TestTimes.

--- a/internal/scaletest/measure_test.go
+++ b/internal/scaletest/measure_test.go
@@ -112,7 +112,7 @@
 	begin, busy := time.Now(), busyTime()
 	first := f.counters()
 	last, at, seconds := first, begin, 0
-	for time.Since(begin) < d {
+	for seconds == 0 || time.Since(begin) < d {
 		time.Sleep(time.Second) // never less: a rate over a part of one would be no second's
 		now, counters := time.Now(), f.counters()
 		for c := range s.Rates {
