Read what a test's net was told under its lock

Need: the race detector found the test of heads reading beside the agent's goroutine; the program was not at fault. Change: accessors with the lock. Measured: internal/agent twice under the race detector, no race.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -59,6 +60,31 @@
 	}
 }
 
+// told is how often a process was spread, and whether the own entry's last time was an update.
+func (n *fakeNet) told(name string) (times int, update bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.passed[name], n.own.Update != nil
+}
+
+func (n *fakeNet) goesByOlder() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.older
+}
+func (n *fakeNet) digest() uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.root
+}
+
+// noted is what was kept and not passed on.
+func (n *fakeNet) noted() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.kept)
+}
+
 // entry is the own entry as others read what was last spread of it.
 func (n *fakeNet) entry(t testing.TB) *fleet.Entry {
 	t.Helper()
@@ -233,7 +259,7 @@
 		if len(e.Windows) != 0 {
 			t.Errorf("windows are spread: %+v", e.Windows)
 		}
-		if n.root == 0 {
+		if n.digest() == 0 {
 			t.Error("the net was told no digest")
 		}
 		if k := len(p.windows); k < 2 || p.windows[k-1].Number != p.windows[k-2].Number+1 || p.windows[k-1].Class[0].Offered != 4 || p.windows[k-1].Memory == 0 {
@@ -380,15 +406,15 @@
 			time.Sleep(time.Second)
 		}
 		synctest.Wait()
-		if w := n.entry(t).Windows; !n.older || len(w) < 3 || w[len(w)-1].Class[0].Offered != 4 {
-			t.Errorf("a member of the version before is told %+v; the net goes by it: %v", w, n.older)
+		if w := n.entry(t).Windows; !n.goesByOlder() || len(w) < 3 || w[len(w)-1].Class[0].Offered != 4 {
+			t.Errorf("a member of the version before is told %+v; the net goes by it: %v", w, n.goesByOlder())
 		}
 		n.events <- fleetnet.Event{Kind: fleetnet.Entry, Bytes: older.Write(func(e *fleet.Entry) { e.State = fleet.Leaving })}
 		n.events <- fleetnet.Event{Kind: fleetnet.Gone, Name: "b"}
 		time.Sleep(2 * time.Second)
 		synctest.Wait()
-		if w := n.entry(t).Windows; n.older || len(w) != 0 {
-			t.Errorf("when it has gone %+v is spread; the net goes by it: %v", w, n.older)
+		if w := n.entry(t).Windows; n.goesByOlder() || len(w) != 0 {
+			t.Errorf("when it has gone %+v is spread; the net goes by it: %v", w, n.goesByOlder())
 		}
 	})
 }
@@ -407,11 +433,12 @@
 		synctest.Wait()
 		told := func(what string, wait time.Duration, want int, update bool) {
 			t.Helper()
-			was := n.passed["a"]
+			was, _ := n.told("a")
 			time.Sleep(wait)
 			synctest.Wait()
-			if got := n.passed["a"] - was; got != want || want > 0 && (n.own.Update != nil) != update {
-				t.Errorf("%s: told %d times, an update: %v", what, got, n.own.Update != nil)
+			times, updated := n.told("a")
+			if got := times - was; got != want || want > 0 && updated != update {
+				t.Errorf("%s: told %d times, an update: %v", what, got, updated)
 			}
 		}
 		told("two heartbeats", 2*fleet.DefaultHeartbeat*time.Microsecond, 2, true)
@@ -428,11 +455,13 @@
 		n.events <- fleetnet.Event{Kind: fleetnet.Entry, Bytes: b.Write(func(*fleet.Entry) {}), Passed: true}
 		n.events <- fleetnet.Event{Kind: fleetnet.Entry, Bytes: b.Write(func(*fleet.Entry) {})}
 		synctest.Wait()
-		if n.passed["b"] != 1 || len(n.kept) != 1 || n.kept[0] != "b" {
-			t.Errorf("what came by repair is spread: %d times spread, %v kept", n.passed["b"], n.kept)
+		if times, _ := n.told("b"); times != 1 || len(n.noted()) != 1 || n.noted()[0] != "b" {
+			t.Errorf("what came by repair is spread: %d times spread, %v kept", times, n.noted())
 		}
 		n.events <- fleetnet.Event{Kind: fleetnet.Root, Name: "b", Digest: 1}
 		synctest.Wait()
+		n.mu.Lock()
+		defer n.mu.Unlock()
 		if len(n.sent) != 1 || n.sent[0].Kind != fleet.Repair || n.sent[0].To != "b" {
 			t.Errorf("another digest was answered with %+v", n.sent)
 		}
