--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -100,6 +100,8 @@
 	heir   succession     // what its predecessor handed on
 	tells  *os.File       // where the predecessor hears that it serves; nil: nobody waits
 
+	net fleetnet.Net // set before the agent runs
+
 	// Of the agent's goroutine.
 	lessor *lease.Part
 	stage  *stage.Part
@@ -217,6 +219,7 @@
 		case <-time.After(bindAgain):
 		}
 	}
+	t.net = net
 	digest, _ := t.reader.Going()
 	a := agent.New(agent.Config{Self: t.member.Name, Zone: t.member.Zone, Program: Version(), Settings: digest, Roster: t.base.Fleet.RosterNumber,
 		Net: net, Views: &t.views, Make: t.make, First: map[fleet.Kind][]byte{fleet.Stage: stage.First(t.running, t.concluded)}, Wake: t.wakes(), Do: t.do, Log: t.log, Clock: t.clock, Wall: func() int64 { return t.wall }, Window: t.window})
--- a/internal/member/parts.go
+++ b/internal/member/parts.go
@@ -14,6 +14,7 @@
 	"pewterwheel/internal/advice"
 	"pewterwheel/internal/aggregate"
 	"pewterwheel/internal/config"
+	"pewterwheel/internal/dissemination"
 	"pewterwheel/internal/failpoint"
 	"pewterwheel/internal/fleet"
 	"pewterwheel/internal/keeper"
@@ -36,7 +37,7 @@
 	f := s.Fleet
 	t.lessor = lease.New(doctored(lease.Config{Self: t.member.Name, Incarnation: life, Seed: life, Roster: f.RosterNumber, Names: f.Roster,
 		Lease: f.Lease, Drift: f.Drift, Floor: life / 1000, Renewals: failpoint.Enabled}))
-	figures := aggregate.New(aggregate.Config{Self: t.member.Name, Seed: life})
+	figures := aggregate.New(aggregate.Config{Self: t.member.Name, Seed: life, Allow: t.allowFigures})
 	t.stage = stage.New(stage.Config{
 		Name:      t.member.Name,
 		Zone:      t.member.Zone,
@@ -70,6 +71,11 @@
 	return append(parts, t.failParts()...)
 }
 
+// allowFigures tells whether the budget has room for a window of so many bytes; one that it has none for goes on growing.
+func (t *together) allowFigures(_ int64, bytes int) bool {
+	return t.net.Allow(dissemination.Figures, bytes)
+}
+
 // keepers is what the keepers' part and its front go by; the front needs no lessor.
 func (t *together) keepers(life uint64, lessor lease.Lessor) keeper.Config {
 	k := t.base.Keepers
