Count a call's bound from the last word of the process that held it

Cause: Restarted counted its 7 s from when the connection was noticed to be lost, though the office's process may have been silent since long before; and the first message of the next process set spoke and served anew for calls that only the one before held.

Why it works: internal/liveness keeps a gap for each loss of the main connection, with the last word before it. Calls that stood before are judged by that, whatever is said, connected or lost later, and each gap by its own, where a process is killed twice. The process is the same still, and the gap forgotten, if it ends a call of before or speaks on a connection of before. The log names the evidence, and how long an office had been silent as a connection ended. TestRestarted wants the release 7 s after the last word now, not after the loss, and not sooner.

--- /dev/null
+++ b/internal/liveness/incarnation.go
@@ -0,0 +1,183 @@
+package liveness
+
+import "slices"
+
+// Bounds on what tells that another process is there, in microseconds where they are times.
+const (
+	// settleAfter is how long a new connection has to bring what refutes a restart: releases that could not be told before.
+	settleAfter = 500_000
+	// lateDelivery is how long after the loss of one connection another may still bring what was written before it.
+	lateDelivery = 200_000
+	// listLag is how long the list may take to tell of a new start.
+	listLag = 7_000_000
+	// maxGaps bounds what is kept of one office.
+	maxGaps = 16
+)
+
+// Standing tells how many calls stand at an office that began to stand at a time from one to before another.
+type Standing func(from, to int64) int
+
+// Evidence is what speaks for another process than that which held the calls of before a gap.
+type Evidence int
+
+// The evidence.
+const (
+	NoEvidence   Evidence = iota
+	RefusedBlind          // a connect was refused in between, and the list of offices, which tells of a new start, could not be heard
+)
+
+// String names the evidence as the log does.
+func (e Evidence) String() string {
+	return [...]string{"none", "refused-blind"}[e]
+}
+
+// gap is a time without a lasting main connection, after which another process of the office may be there.
+type gap struct {
+	lost    int64 // when it began; calls that stood before are in question
+	spoke   int64 // the last message before it, which proves that the process ran
+	served  int64 // the last message of a call before it, which proves that its processor worked
+	stalled bool  // set-ups had no answer between served and the loss
+	first   int64 // the first message on the main connection after it; 0: none yet
+	refused bool  // a connect was refused in it
+	blind   bool  // the list could not be heard while it had to tell of a new start
+}
+
+// incarnations is what is known of the processes that an office has been, one after the other.
+type incarnations struct {
+	gaps []gap // those that calls still stand from before of, oldest first
+}
+
+// Lost is what was seen of a connection as it was lost.
+type Lost struct {
+	Opened     int64 // when it had come up
+	Unanswered int   // set-ups that were out on it, sent after the last message of a call and out for LeastWait
+}
+
+// LeastWait is the least time, in microseconds, that a set-up must have been out for its missing answer to tell anything.
+const LeastWait = leastWait
+
+// inGap tells whether the main connection has brought nothing since its last loss.
+func (o *Office) inGap() bool {
+	last := len(o.gaps) - 1
+	return last >= 0 && o.gaps[last].first == 0
+}
+
+// beginGap notes that the main connection does not last.
+func (o *Office) beginGap(now int64, unanswered int) {
+	if o.inGap() {
+		return
+	}
+	if len(o.gaps) == maxGaps {
+		o.gaps = slices.Delete(o.gaps, 0, 1)
+	}
+	o.gaps = append(o.gaps, gap{
+		lost:    now,
+		spoke:   o.spoke,
+		served:  o.served,
+		stalled: unanswered > 0 || o.unanswered > 0,
+	})
+}
+
+// endGap notes the first message on the main connection after a gap.
+func (o *Office) endGap(at int64) {
+	if o.inGap() {
+		o.gaps[len(o.gaps)-1].first = at
+	}
+}
+
+// proof is a message that only the process can have written which was there at a time.
+type proof struct {
+	at     int64
+	since  int64 // when that process was there
+	opened int64 // when the connection came up on which the message came
+}
+
+// refutes tells whether the process was still there after a gap, so that what was lost was a connection. Guards against what
+// was written before the loss of one connection and is read late on another.
+func (p proof) refutes(g gap) bool {
+	return g.lost > p.since && (p.opened >= g.lost || p.at >= g.lost+lateDelivery)
+}
+
+// proven notes that a process of before some gaps is still there. In a gap that goes on, it may end yet.
+func (o *Office) proven(p proof) {
+	if o.inGap() {
+		if g := &o.gaps[len(o.gaps)-1]; p.refutes(*g) {
+			g.lost = p.at
+			g.spoke = p.at
+			g.served = max(g.served, o.served)
+		}
+	}
+	o.gaps = slices.DeleteFunc(o.gaps, func(g gap) bool { return g.first != 0 && p.refutes(g) })
+}
+
+// Ended notes that the office ended, on a connection that had come up at a time, a call that had stood since another: the
+// process that set the call up is still there.
+func (o *Office) Ended(now, since, opened int64) {
+	o.proven(proof{at: now, since: since, opened: opened})
+}
+
+// List is what the caller knows of the list of offices.
+type List struct {
+	Heard int64 // when anything last came of it; 0: never, or it can't be lost
+	Lost  int64 // when it could last not be heard; 0: never
+}
+
+// Restart is a process that has ended. Calls that stood there before a time are over.
+type Restart struct {
+	Before   int64
+	Evidence Evidence
+	Spoke    int64 // the last message of that process
+}
+
+// Restarted tells whether calls that stood before a time are over, as their process has ended, though the office speaks. The
+// time counts from the last word of that process. Where this process is departing, a refused connect is enough, at once.
+func (o *Office) Restarted(now int64, list List, standing Standing, departing bool) (Restart, bool) {
+	for i := len(o.gaps) - 1; i >= 0; i-- {
+		g := &o.gaps[i]
+		g.watchList(now, list)
+		evidence := g.evidence()
+		if departing && evidence == NoEvidence && g.refused && g.first != 0 {
+			evidence = RefusedBlind
+		}
+		if evidence == NoEvidence || !departing && now < g.due() {
+			continue
+		}
+		restart := Restart{Before: g.lost, Evidence: evidence, Spoke: g.spoke}
+		o.gaps = slices.Delete(o.gaps, 0, i+1) // what stood before earlier ones is among those calls
+		return restart, true
+	}
+	if len(o.gaps) > 0 && o.gaps[0].first != 0 && standing(0, o.gaps[0].lost) == 0 {
+		o.gaps = slices.Delete(o.gaps, 0, 1)
+	}
+	return Restart{}, false
+}
+
+// watchList notes whether the list could be heard while it had to tell of a new start.
+func (g *gap) watchList(now int64, list List) {
+	if now > g.lost+listLag {
+		return
+	}
+	lost := list.Lost != 0 && list.Lost >= g.lost-listSilence
+	unheard := list.Heard != 0 && list.Heard < g.lost && now-g.lost >= listSilence/2
+	g.blind = g.blind || lost || unheard
+}
+
+// evidence is what speaks for another process after a gap.
+func (g *gap) evidence() Evidence {
+	switch {
+	case g.first == 0:
+		return NoEvidence // silence and failed connects are judged
+	case g.refused && g.blind:
+		return RefusedBlind
+	}
+	return NoEvidence
+}
+
+// due is when calls of before a gap are over, if there is evidence.
+func (g *gap) due() int64 {
+	word := g.spoke
+	if g.stalled {
+		word = g.served
+	}
+	return max(word+releaseAfter, g.first+settleAfter)
+}
--- /dev/null
+++ b/internal/liveness/incarnation_test.go
@@ -0,0 +1,135 @@
+package liveness
+
+import "testing"
+
+// standingSince counts calls by the times from which they stand.
+func standingSince(times ...int64) Standing {
+	return func(from, to int64) int {
+		n := 0
+		for _, at := range times {
+			if at >= from && at < to {
+				n++
+			}
+		}
+		return n
+	}
+}
+
+// Calls of a process that has ended are over 7 s after its last word, where connects were refused before the next connection
+// and the list was silent; what the next process says begins nothing anew.
+func TestRestarted(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		refused bool
+		lost    int64 // when the list could last not be heard
+		want    bool
+	}{
+		{"the list could be heard", true, 0, false},
+		{"the list was silent long ago", true, 2 * second, false},
+		{"the list is silent", true, 12 * second, true},
+		{"connects did not come up", false, 12 * second, false},
+	} {
+		var o Office
+		o.Heard(message(9 * second))
+		o.ConnectionLost(10*second, Lost{Opened: second})
+		o.ConnectFailed(10*second+second/10, c.refused)
+		o.Connected()
+		o.Heard(message(11 * second))
+		list := List{Lost: c.lost}
+		standing := standingSince(8 * second)
+		o.Heard(message(16*second - 1))
+		if _, over := o.Restarted(16*second-1, list, standing, false); over {
+			t.Errorf("%s: over before the list could have told", c.name)
+		}
+		restart, over := o.Restarted(16*second, list, standing, false)
+		if over != c.want || over && (restart.Before != 10*second || restart.Evidence != RefusedBlind) {
+			t.Errorf("%s: %+v over: %t, want %t from before 10 s", c.name, restart, over, c.want)
+		}
+		if _, again := o.Restarted(18*second, list, standing, false); again {
+			t.Errorf("%s: told twice", c.name)
+		}
+	}
+}
+
+// A process that was killed twice leaves calls of two earlier ones, each with a bound of its own.
+func TestRestartedTwice(t *testing.T) {
+	var o Office
+	for i := int64(0); i < 2; i++ {
+		o.Heard(message((10 + 2*i) * second))
+		o.ConnectionLost((11+2*i)*second, Lost{Opened: second})
+		o.ConnectFailed((11+2*i)*second+second/10, true)
+	}
+	o.Heard(message(14 * second))
+	standing := standingSince(9*second, 12*second+second/2)
+	list := List{Lost: 14 * second}
+	want := []int64{11 * second, 13 * second}
+	for now := int64(14 * second); now <= 19*second; now += second / 10 {
+		o.Heard(message(now))
+		restart, over := o.Restarted(now, list, standing, false)
+		if !over {
+			continue
+		}
+		if len(want) == 0 || restart.Before != want[0] || now > restart.Spoke+releaseAfter {
+			t.Fatalf("%+v over at %d us, want those from before %v 7 s after the last word", restart, now, want)
+		}
+		want = want[1:]
+	}
+	if len(want) > 0 {
+		t.Errorf("calls from before %v were never over", want)
+	}
+}
+
+// An office that ends a call of before a gap is the same process still, and one that ends a call of after it may be another.
+func TestEndOfAnOlderCallRefutesARestart(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		since, opened int64
+		at            int64
+		want          bool // restarted
+	}{
+		{"of before", 9 * second, 11 * second, 12 * second, false},
+		{"of before, at once on the next connection", 9 * second, 10*second + second/20, 10*second + second/10, false},
+		{"of after", 11*second + second/2, 11 * second, 12 * second, true},
+		{"of before, written before and read late on another connection", 9 * second, second, 10*second + second/10, true},
+	} {
+		var o Office
+		o.Heard(message(10 * second))
+		o.ConnectionLost(10*second, Lost{Opened: second})
+		o.ConnectFailed(10*second+second/20, true)
+		o.Heard(message(10*second + second/10))
+		o.Ended(c.at, c.since, c.opened)
+		list := List{Lost: 10 * second}
+		if _, over := o.Restarted(13*second, list, standingSince(9*second), false); over {
+			t.Errorf("%s: restarted 3 s after the last word", c.name)
+		}
+		if _, over := o.Restarted(17*second, list, standingSince(9*second), false); over != c.want {
+			t.Errorf("%s: restarted %t, want %t", c.name, over, c.want)
+		}
+	}
+}
+
+// A process that ends leaves nobody who could learn more: a refused connect is enough.
+func TestRestartedAsThisProcessEnds(t *testing.T) {
+	for _, refused := range []bool{true, false} {
+		var o Office
+		o.Heard(message(10 * second))
+		o.ConnectionLost(10*second, Lost{Opened: second})
+		o.ConnectFailed(10*second+second/10, refused)
+		o.Heard(message(11 * second))
+		if _, over := o.Restarted(12*second, List{}, standingSince(9*second), true); over != refused {
+			t.Errorf("refused %t: restarted %t", refused, over)
+		}
+	}
+}
+
+// What is kept of losses is bounded, however often connections are lost.
+func TestGapsAreBounded(t *testing.T) {
+	var o Office
+	for at := int64(second); at < 200*second; at += second {
+		o.Heard(message(at))
+		o.ConnectionLost(at+second/2, Lost{Opened: at})
+	}
+	if len(o.gaps) > maxGaps {
+		t.Errorf("%d gaps are kept, want %d at most", len(o.gaps), maxGaps)
+	}
+}
--- a/internal/liveness/liveness.go
+++ b/internal/liveness/liveness.go
@@ -53,7 +53,7 @@
 	Refused                   // connects are refused
 	Unreachable               // connects do not come up
 	Departing                 // this process ends, and evidence is not complete
-	Restarted                 // connects were refused between two connections, and nobody could tell of a new start
+	Restarted                 // another process of it speaks than that which held the calls
 	reasons
 )
 
@@ -89,10 +89,7 @@
 	failing int64 // since when the main connection has not lasted; 0: it does
 	failed  int64 // when the last connect of this series failed
 	last    failure
-	// Of the present series of failures, whether a connect was refused; and when the last such series began that the office
-	// has spoken after, until it is judged.
-	refusedInSeries bool
-	restarted       int64
+	incarnations
 
 	// Set-ups given up without an answer since served, and how long they were out together.
 	unanswered int
@@ -105,11 +102,15 @@
 // Spoke is when the last whole message came; 0: none has.
 func (o *Office) Spoke() int64 { return o.spoke }
 
+// Served is when the last message of a call came, which only a processor that works can write; 0: none has.
+func (o *Office) Served() int64 { return o.served }
+
 // Message is what counts of a whole message from an office.
 type Message struct {
 	At     int64
-	OfCall bool // it answers, refuses or releases a call, which a processor that stands still can't
-	Main   bool // it came on the office's main connection, and not on a pooled one beside it
+	OfCall bool  // it answers, refuses or releases a call, which a processor that stands still can't
+	Main   bool  // it came on the office's main connection, and not on a pooled one beside it
+	Opened int64 // when that connection came up
 }
 
 // Heard notes a message.
@@ -117,6 +118,9 @@
 	o.spoke = max(o.spoke, m.At)
 	if m.Main {
 		o.endSeries()
+		o.endGap(m.At)
+	} else {
+		o.proven(proof{at: m.At, since: m.Opened, opened: m.Opened})
 	}
 	if m.OfCall {
 		o.served = max(o.served, m.At)
@@ -129,28 +133,12 @@
 	return o.become(Responsive, Spoke), true
 }
 
-// endSeries notes that the main connection brings messages. Where a connect was refused before it, another process than that
-// of the connection before may have been there since.
+// endSeries notes that the main connection brings messages.
 func (o *Office) endSeries() {
-	if o.refusedInSeries {
-		o.restarted = o.failing
-	}
-	o.refusedInSeries = false
 	o.failing = 0
 	o.last = none
 }
 
-// Restarted tells, once, whether calls that stood before a time are over: their process was seen to have ended, and the list
-// of offices, which tells of a new start in time, could not be heard meanwhile. blind is when it last could not; 0: never.
-func (o *Office) Restarted(now, blind int64) (before int64, over bool) {
-	if o.restarted == 0 || now-o.restarted < releaseAfter {
-		return 0, false
-	}
-	before = o.restarted
-	o.restarted = 0
-	return before, blind != 0 && blind >= before-listSilence
-}
-
 // refuted tells whether a message speaks against the evidence for the present state.
 func (o *Office) refuted(m Message) bool {
 	switch o.reason {
@@ -174,11 +162,12 @@
 // Connected notes that a connection came up. That alone says nothing: the system accepts for a process that stands still.
 func (o *Office) Connected() { o.last = none }
 
-// ConnectionLost notes the end of a connection that had come up at a time.
-func (o *Office) ConnectionLost(now, opened int64) {
-	if o.failing == 0 || now-opened >= lastingFor {
+// ConnectionLost notes the end of a main connection.
+func (o *Office) ConnectionLost(now int64, lost Lost) {
+	if o.failing == 0 || now-lost.Opened >= lastingFor {
 		o.failing = now
 	}
+	o.beginGap(now, lost.Unanswered)
 }
 
 // ConnectFailed notes a connect that was refused, or did not come up.
@@ -186,11 +175,12 @@
 	if o.failing == 0 {
 		o.failing = now
 	}
+	o.beginGap(now, 0)
 	o.failed = now
 	o.last = unreachable
 	if isRefused {
 		o.last = refused
-		o.refusedInSeries = true
+		o.gaps[len(o.gaps)-1].refused = true
 	}
 }
 
--- a/internal/liveness/liveness_test.go
+++ b/internal/liveness/liveness_test.go
@@ -13,7 +13,7 @@
 		"nothing else is seen": func(*Office, int64) {},
 		"connections come up and end": func(o *Office, now int64) {
 			o.Connected()
-			o.ConnectionLost(now, now-second/2)
+			o.ConnectionLost(now, Lost{Opened: now - second/2})
 		},
 		"connects fail and come up by turns": func(o *Office, now int64) {
 			o.ConnectFailed(now, now%2 == 0)
@@ -49,7 +49,7 @@
 	}{{"refused", true, refusedFor}, {"not up", false, unreachableFor}} {
 		var o Office
 		o.Heard(message(10 * second))
-		o.ConnectionLost(10*second, second)
+		o.ConnectionLost(10*second, Lost{Opened: second})
 		at := int64(0)
 		for now := int64(10*second + second/2); at == 0 && now < 30*second; now += second / 2 {
 			o.ConnectFailed(now, c.refused)
@@ -74,7 +74,7 @@
 func TestPooledConnectionsSayNothingOfTheMainOne(t *testing.T) {
 	var o Office
 	o.Heard(message(10 * second))
-	o.ConnectionLost(10*second, second)
+	o.ConnectionLost(10*second, Lost{Opened: second})
 	verdict := Transition{}
 	for now := int64(10 * second); now <= 20*second; now += second / 2 {
 		o.ConnectFailed(now, true)
@@ -92,7 +92,7 @@
 func TestSilenceHoldsBesideRefusedConnects(t *testing.T) {
 	var o Office
 	o.Heard(message(10 * second))
-	o.ConnectionLost(10*second, second)
+	o.ConnectionLost(10*second, Lost{Opened: second})
 	var last Transition
 	for now := int64(10 * second); now <= 17*second; now += second / 2 {
 		o.ConnectFailed(now, true)
@@ -113,7 +113,7 @@
 			o.Heard(message(now))
 		}
 		if now%(11*second) == 0 {
-			o.ConnectionLost(now, now-5*second)
+			o.ConnectionLost(now, Lost{Opened: now - 5*second})
 			o.ConnectFailed(now, true)
 			o.Connected()
 		}
@@ -243,35 +243,3 @@
 		}
 	}
 }
-
-// Calls of a process that has ended are over where connects were refused before the next connection and the list was silent.
-func TestRestarted(t *testing.T) {
-	for _, c := range []struct {
-		name    string
-		refused bool
-		blind   int64
-		want    bool
-	}{
-		{"the list could be heard", true, 0, false},
-		{"the list was silent long ago", true, 2 * second, false},
-		{"the list is silent", true, 12 * second, true},
-		{"connects did not come up", false, 12 * second, false},
-	} {
-		var o Office
-		o.Heard(message(9 * second))
-		o.ConnectionLost(10*second, second)
-		o.ConnectFailed(10*second+second/10, c.refused)
-		o.Connected()
-		o.Heard(message(11 * second))
-		if _, over := o.Restarted(16*second, c.blind); over {
-			t.Errorf("%s: over before the list could have told", c.name)
-		}
-		before, over := o.Restarted(17*second, c.blind)
-		if over != c.want || over && before != 10*second {
-			t.Errorf("%s: calls from before %d us over: %t, want %t from before 10 s", c.name, before, over, c.want)
-		}
-		if _, again := o.Restarted(18*second, c.blind); again {
-			t.Errorf("%s: told twice", c.name)
-		}
-	}
-}
--- a/internal/service/broken_test.go
+++ b/internal/service/broken_test.go
@@ -172,6 +172,7 @@
 type limits struct {
 	memory, sockets int
 	dial            time.Duration
+	deaf            bool // discovery takes connections and says nothing
 }
 
 // play lets a test play an office.
@@ -190,7 +191,7 @@
 }
 
 // quietJournal has nothing new to tell, and says so.
-func quietJournal(t *testing.T) net.Listener {
+func quietJournal(t *testing.T, deaf bool) net.Listener {
 	journal := port(t)
 	go func() {
 		for {
@@ -198,6 +199,10 @@
 			if err != nil {
 				return
 			}
+			if deaf {
+				t.Cleanup(func() { _ = conn.Close() })
+				continue
+			}
 			go func() {
 				for {
 					if _, err := conn.Write([]byte{0, 0, 0, 9, 0, 0, 0, 0, 0, 0, 0, 3, 0}); err != nil {
@@ -228,7 +233,7 @@
 			{"name":"sale-auth","aim_us":800000,"deadline_us":6000000,"importance":6,"effect":"free"}],
 			"family_info":{"class_cells":[[%s]],"guard_us":200000,"resend_us":500000,"home_no":-1},
 			"policy_limits":{"dial_timeout_us":%d,"may_cancel":true,"most_tries":6,"retry_after":true,"max_retry_after_us":2000000}}}`,
-		b.listen, lim.memory, lim.sockets, quietJournal(t).Addr(), strings.Join(hosts, ","), strings.Join(pools, ","), lim.dial.Microseconds())
+		b.listen, lim.memory, lim.sockets, quietJournal(t, lim.deaf).Addr(), strings.Join(hosts, ","), strings.Join(pools, ","), lim.dial.Microseconds())
 	b.path = filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(b.path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
--- a/internal/session/office_connections.go
+++ b/internal/session/office_connections.go
@@ -76,13 +76,15 @@
 // on the next one, which is opened at once.
 func (s *Session) officeLost(l *state.Lane, err error) {
 	o, unsent := l.To, errors.Is(err, errStuck) || l.Conn.Unsent()
+	unanswered := s.unanswered(l)
 	l.Conn, l.In = nil, nil
 	s.writeOffice(l) // nobody is there: what was to be written has not left
 	level := slog.LevelWarn
 	if errors.Is(err, errIdle) {
 		level = slog.LevelDebug
 	}
-	s.laneLog(l).Log(context.Background(), level, "office connection ended", "office", o.ID, "out", len(l.Out), "standing", len(o.Standing), "error", err)
+	s.laneLog(l).Log(context.Background(), level, "office connection ended", "office", o.ID, "out", len(l.Out), "standing", len(o.Standing),
+		"silent_ms", sinceOrNever(s.now, o.Liveness.Spoke()), "served_ms", sinceOrNever(s.now, o.Liveness.Served()), "error", err)
 	for _, at := range inOrder(l.Out) {
 		if at.Failed {
 			s.Counters[state.Unreached]++
@@ -106,7 +108,7 @@
 		s.laneLost(l)
 	}
 	if l.Number == 0 {
-		o.Liveness.ConnectionLost(s.now, l.Spoken.Opened)
+		o.Liveness.ConnectionLost(s.now, liveness.Lost{Opened: l.Spoken.Opened, Unanswered: unanswered})
 	}
 	switch quick := s.now-l.Spoken.Opened < redialMost; {
 	case l.Number != 0: // it says nothing of the main one
@@ -121,6 +123,14 @@
 	s.redial(o)
 }
 
+// sinceOrNever is how many milliseconds ago something was, for the log; -1: it never was.
+func sinceOrNever(now, then int64) int64 {
+	if then == 0 {
+		return -1
+	}
+	return (now - then) / 1000
+}
+
 // owedAgain has what was released on a connection that ended before all of it had left, and was not heard, told once more:
 // what ended with it, and what was given up before. The release of the latter may be among what did not leave, though its
 // set-up had.
--- a/internal/session/office_liveness.go
+++ b/internal/session/office_liveness.go
@@ -85,7 +85,7 @@
 // officeSpoke notes a whole message of an office.
 func (s *Session) officeSpoke(l *state.Lane, m wire.Message, at int64) {
 	ofCall := m.Type == wire.TypeAnswer || m.Type == wire.TypeRelease
-	if t, changed := l.To.Liveness.Heard(liveness.Message{At: at, OfCall: ofCall, Main: l.Number == 0}); changed {
+	if t, changed := l.To.Liveness.Heard(liveness.Message{At: at, OfCall: ofCall, Main: l.Number == 0, Opened: l.Spoken.Opened}); changed {
 		s.officeBecame(l.To, t)
 	}
 }
@@ -166,23 +166,52 @@
 	}
 }
 
-// judgeRestart releases the calls of a process that has ended, where the list of offices could not tell of it.
+// judgeRestart releases the calls of a process of the office that has ended, where another one speaks for it.
 func (s *Session) judgeRestart(o *state.Office) {
-	blind := s.journal.lost
+	if s.watched.settling > 0 || o.Conn != nil && o.Conn.Unread() {
+		return
+	}
+	list := liveness.List{Heard: s.source.Heard(), Lost: s.journal.lost}
 	if s.journal.conn == nil {
-		blind = s.now
+		list.Lost = s.now
 	}
-	before, over := o.Liveness.Restarted(s.now, blind)
+	restart, over := o.Liveness.Restarted(s.now, list, standing(o), s.departing())
 	if !over {
 		return
 	}
+	s.log.Warn("office restarted", "office", o.ID, "evidence", restart.Evidence.String(), "last_word_ms", (s.now-restart.Spoke)/1000,
+		"lost_ms", (s.now-restart.Before)/1000, "standing", len(o.Standing), "of_before", standing(o)(0, restart.Before))
 	for _, st := range inOrder(o.Standing) {
-		if st.Since < before {
+		if st.Since < restart.Before {
 			s.releaseFor(o, st, liveness.Restarted)
 		}
 	}
 }
 
+// standing counts the calls that stand at an office by when they began to.
+func standing(o *state.Office) liveness.Standing {
+	return func(from, to int64) int {
+		n := 0
+		for _, st := range o.Standing {
+			if st.Since >= from && st.Since < to {
+				n++
+			}
+		}
+		return n
+	}
+}
+
+// unanswered counts the set-ups that are out on a connection for long enough to have been answered by now.
+func (s *Session) unanswered(l *state.Lane) int {
+	n := 0
+	for _, at := range l.Out {
+		if s.now-at.Since >= liveness.LeastWait && l.To.Liveness.Served() <= at.Since {
+			n++
+		}
+	}
+	return n
+}
+
 // releaseFor releases a call towards its caller and, if its office still has it, there.
 func (s *Session) releaseFor(o *state.Office, st *state.Standing, reason liveness.Reason) {
 	call, on := st.ID, st.On
--- a/internal/session/offices.go
+++ b/internal/session/offices.go
@@ -216,6 +216,7 @@
 		if st.On.To != o {
 			return // it was given up here and stands elsewhere: its end there is what counts
 		}
+		o.Liveness.Ended(when, st.Since, l.Spoken.Opened)
 		if s.lanes.laner != nil {
 			s.saw(pooling.EndedThere, m.Call, cause, nil)
 		}
--- a/internal/session/silent_office_test.go
+++ b/internal/session/silent_office_test.go
@@ -24,6 +24,7 @@
 	reports bool                   // it told its free lines until it fell silent
 	lines   func() []string        // what happens, each with its millisecond
 	greets  func(p *player) []byte // what it says first on each new connection
+	extra   []string               // what happens before, each with its millisecond
 }
 
 // every repeats a line at a distance, until the end of the case.
@@ -51,6 +52,7 @@
 	if c.lines != nil {
 		lines = append(lines, c.lines()...)
 	}
+	lines = append(lines, c.extra...)
 	slices.SortStableFunc(lines, func(a, b string) int { return at(a) - at(b) })
 	if c.greets != nil {
 		p.greets = func(conn *fakeConn) []byte {
@@ -74,12 +76,15 @@
 	return ms
 }
 
-// released is when the caller was told that the call is over, and with which cause; 0: never.
-func released(lines []string) (ms int, cause string) {
+// released is when the caller was told that the call a1 is over, and with which cause; 0: never.
+func released(lines []string) (ms int, cause string) { return releasedCall(lines, "a1") }
+
+// releasedCall is the same for a call by the last two digits of its id.
+func releasedCall(lines []string, call string) (ms int, cause string) {
 	for _, line := range lines {
 		if strings.Contains(line, " a < ") {
 			for _, end := range []string{"10", "29"} {
-				if strings.Contains(line, "[0c 00000000000000a1 3a["+end+"]]") {
+				if strings.Contains(line, "[0c 00000000000000"+call+" 3a["+end+"]]") {
 					return at(line), end
 				}
 			}
