Tell another office process by its lines in use, and by calls that do not end

What callers saw: where an office's process was replaced without a refused connect, or while discovery was well and said nothing of it, they were never told of the end of calls that stood at the process before.

Cause: a refused connect while the list could not be heard was the only evidence of another process.

Why it works: a process that reports fewer lines in use, by all senders, than calls of before the loss stand there cannot hold them; an office whose last report before the loss already disagreed is not judged so. And where 16 calls or more that stand had begun in the 7 s before, and as many ended in that time, none ending in the next 7 s says that their process is gone: in the long run as many calls end within a time as are younger than it. Either is refuted by the end of one call of before.

--- a/internal/liveness/incarnation.go
+++ b/internal/liveness/incarnation.go
@@ -10,6 +10,9 @@
 	lateDelivery = 200_000
 	// listLag is how long the list may take to tell of a new start.
 	listLag = 7_000_000
+	// leastEnds is how many ends must be expected of a group of calls for none to say that their process is gone: by
+	// chance none of so many comes in one case of some ten million.
+	leastEnds = 16
 	// maxGaps bounds what is kept of one office.
 	maxGaps = 16
 )
@@ -24,11 +27,13 @@
 const (
 	NoEvidence   Evidence = iota
 	RefusedBlind          // a connect was refused in between, and the list of offices, which tells of a new start, could not be heard
+	FewerLines            // the office reports fewer lines in use than such calls stand
+	NoEnds                // none of so many such calls has ended as ended in as much time before
 )
 
 // String names the evidence as the log does.
 func (e Evidence) String() string {
-	return [...]string{"none", "refused-blind"}[e]
+	return [...]string{"none", "refused-blind", "fewer-lines", "no-ends"}[e]
 }
 
 // gap is a time without a lasting main connection, after which another process of the office may be there.
@@ -37,14 +42,19 @@
 	spoke   int64 // the last message before it, which proves that the process ran
 	served  int64 // the last message of a call before it, which proves that its processor worked
 	stalled bool  // set-ups had no answer between served and the loss
+	ends    int   // calls that the office ended in the last releaseAfter before spoke
+	trusted bool  // the last report of lines before it agreed with the calls that stood
 	first   int64 // the first message on the main connection after it; 0: none yet
 	refused bool  // a connect was refused in it
 	blind   bool  // the list could not be heard while it had to tell of a new start
+	fewer   int64 // since when reports after it disagree with the calls in question; 0: they agree
 }
 
 // incarnations is what is known of the processes that an office has been, one after the other.
 type incarnations struct {
-	gaps []gap // those that calls still stand from before of, oldest first
+	gaps   []gap // those that calls still stand from before of, oldest first
+	ends   endsHistory
+	agrees bool // the last report of lines agreed with the calls that stood
 }
 
 // Lost is what was seen of a connection as it was lost.
@@ -75,6 +85,8 @@
 		spoke:   o.spoke,
 		served:  o.served,
 		stalled: unanswered > 0 || o.unanswered > 0,
+		ends:    o.ends.since(o.spoke - releaseAfter),
+		trusted: o.agrees,
 	})
 }
 
@@ -105,6 +117,7 @@
 			g.lost = p.at
 			g.spoke = p.at
 			g.served = max(g.served, o.served)
+			g.ends = o.ends.since(p.at - releaseAfter)
 		}
 	}
 	o.gaps = slices.DeleteFunc(o.gaps, func(g gap) bool { return g.first != 0 && p.refutes(g) })
@@ -113,9 +126,26 @@
 // Ended notes that the office ended, on a connection that had come up at a time, a call that had stood since another: the
 // process that set the call up is still there.
 func (o *Office) Ended(now, since, opened int64) {
+	o.ends.add(now)
 	o.proven(proof{at: now, since: since, opened: opened})
 }
 
+// LinesInUse notes a report of how many lines are in use at the office, by calls of all senders.
+func (o *Office) LinesInUse(now int64, lines int, standing Standing) {
+	if all := standing(0, now+1); all > 0 {
+		o.agrees = lines >= all
+	}
+	for i := range o.gaps {
+		g := &o.gaps[i]
+		switch disagrees := g.first != 0 && g.trusted && lines < standing(0, g.lost); {
+		case !disagrees:
+			g.fewer = 0
+		case g.fewer == 0:
+			g.fewer = now
+		}
+	}
+}
+
 // List is what the caller knows of the list of offices.
 type List struct {
 	Heard int64 // when anything last came of it; 0: never, or it can't be lost
@@ -135,11 +165,11 @@
 	for i := len(o.gaps) - 1; i >= 0; i-- {
 		g := &o.gaps[i]
 		g.watchList(now, list)
-		evidence := g.evidence()
+		evidence := g.evidence(now, standing)
 		if departing && evidence == NoEvidence && g.refused && g.first != 0 {
 			evidence = RefusedBlind
 		}
-		if evidence == NoEvidence || !departing && now < g.due() {
+		if evidence == NoEvidence || !departing && now < g.due(evidence) {
 			continue
 		}
 		restart := Restart{Before: g.lost, Evidence: evidence, Spoke: g.spoke}
@@ -163,21 +193,60 @@
 }
 
 // evidence is what speaks for another process after a gap.
-func (g *gap) evidence() Evidence {
+func (g *gap) evidence(now int64, standing Standing) Evidence {
 	switch {
 	case g.first == 0:
 		return NoEvidence // silence and failed connects are judged
+	case g.fewer != 0 && now-g.fewer >= settleAfter:
+		return FewerLines
 	case g.refused && g.blind:
 		return RefusedBlind
+	case now-g.spoke >= releaseAfter && g.ends >= leastEnds && standing(g.spoke-releaseAfter, g.lost) >= leastEnds:
+		return NoEnds
 	}
 	return NoEvidence
 }
 
-// due is when calls of before a gap are over, if there is evidence.
-func (g *gap) due() int64 {
+// due is when calls of before a gap are over by the evidence. One that tells of a new process whatever the list and the old
+// process say counts from the last time at which the old one is known to have worked.
+func (g *gap) due(evidence Evidence) int64 {
 	word := g.spoke
-	if g.stalled {
+	if g.stalled || evidence == FewerLines {
 		word = g.served
 	}
 	return max(word+releaseAfter, g.first+settleAfter)
 }
+
+// endsHistory counts the calls that an office ended, by the second, for the last few seconds.
+type endsHistory struct {
+	counts [16]int
+	second int64 // the last that is counted
+}
+
+const historyStep = 1_000_000
+
+func (h *endsHistory) add(now int64) {
+	h.advance(now / historyStep)
+	h.counts[h.second%int64(len(h.counts))]++
+}
+
+// advance clears the seconds in which nothing was counted.
+func (h *endsHistory) advance(second int64) {
+	for n := 0; h.second < second; n++ {
+		if n == len(h.counts) {
+			h.second = second
+			return
+		}
+		h.second++
+		h.counts[h.second%int64(len(h.counts))] = 0
+	}
+}
+
+// since is how many calls were ended since a time, to the second.
+func (h *endsHistory) since(from int64) int {
+	sum := 0
+	for second := max(from/historyStep+1, h.second-int64(len(h.counts))+1, 0); second <= h.second; second++ {
+		sum += h.counts[second%int64(len(h.counts))]
+	}
+	return sum
+}
--- a/internal/liveness/incarnation_test.go
+++ b/internal/liveness/incarnation_test.go
@@ -108,6 +108,75 @@
 	}
 }
 
+// A report of fewer lines in use than calls stand tells of another process, unless the office's reports never agreed.
+func TestFewerLinesInUse(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		before, after []int
+		want          bool
+	}{
+		{"fewer", []int{5}, []int{1}, true},
+		{"as many", []int{5}, []int{3}, false},
+		{"more, by calls of others", []int{5}, []int{9}, false},
+		{"fewer at first", []int{5}, []int{1, 3}, false},
+		{"fewer always", []int{0}, []int{0}, false},
+		{"none before", nil, []int{0}, false},
+	} {
+		var o Office
+		standing := standingSince(8*second, 8*second+1, 8*second+2)
+		o.Heard(message(9 * second))
+		for _, lines := range c.before {
+			o.LinesInUse(9*second, lines, standing)
+		}
+		o.ConnectionLost(10*second, Lost{Opened: second})
+		for i, lines := range c.after {
+			at := 10*second + int64(i+1)*second/5
+			o.Heard(message(at))
+			o.LinesInUse(at, lines, standing)
+		}
+		restart, over := o.Restarted(17*second, List{}, standing, false)
+		if over != c.want || over && restart.Evidence != FewerLines {
+			t.Errorf("%s: %+v %t, want %t", c.name, restart, over, c.want)
+		}
+	}
+}
+
+// Where many calls ended each second before a loss and none of as many of before ends after it, their process is gone.
+func TestNoEndsAfterALoss(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		ended    int
+		standing int
+		age      int64 // of the calls, at the loss
+		want     bool
+	}{
+		{"many ended, many young stand", 40, 40, second, true},
+		{"few ended", 5, 40, second, false},
+		{"few stand", 40, 5, second, false},
+		{"old ones stand", 40, 40, 20 * second, false},
+	} {
+		var o Office
+		o.Heard(message(10 * second))
+		for range c.ended {
+			o.Ended(28*second, 27*second, second)
+		}
+		o.Heard(message(30 * second))
+		o.ConnectionLost(30*second+second/10, Lost{Opened: second})
+		var times []int64
+		for range c.standing {
+			times = append(times, 30*second-c.age)
+		}
+		o.Heard(message(30*second + second/5))
+		if _, over := o.Restarted(37*second-1, List{}, standingSince(times...), false); over {
+			t.Errorf("%s: over before 7 s", c.name)
+		}
+		restart, over := o.Restarted(37*second, List{}, standingSince(times...), false)
+		if over != c.want || over && restart.Evidence != NoEnds {
+			t.Errorf("%s: %+v %t, want %t", c.name, restart, over, c.want)
+		}
+	}
+}
+
 // A process that ends leaves nobody who could learn more: a refused connect is enough.
 func TestRestartedAsThisProcessEnds(t *testing.T) {
 	for _, refused := range []bool{true, false} {
--- a/internal/service/replaced_office_test.go
+++ b/internal/service/replaced_office_test.go
@@ -233,6 +233,11 @@
 		{name: "hangs for long", reports: seldom, hangs: 5 * time.Second, gap: 150 * time.Millisecond},
 		{name: "reports on", reports: often, reporting: true, hangs: 1200 * time.Millisecond, gap: 150 * time.Millisecond, setUps: true},
 		{name: "reports on for longer", reports: often, reporting: true, hangs: 2400 * time.Millisecond, gap: 150 * time.Millisecond, setUps: true},
+		{name: "nothing is refused, killed at once", reports: seldom},
+		{name: "nothing is refused", reports: seldom, hangs: 1200 * time.Millisecond},
+		{name: "discovery says nothing, killed at once", discovery: true, reports: seldom, gap: 150 * time.Millisecond},
+		{name: "discovery says nothing", discovery: true, reports: seldom, hangs: 1200 * time.Millisecond, gap: 2200 * time.Millisecond},
+		{name: "discovery says nothing, nothing is refused", discovery: true, reports: often, hangs: 1200 * time.Millisecond},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/session/offices.go
+++ b/internal/session/offices.go
@@ -100,6 +100,9 @@
 		if l.Number != 0 && l.To.Conn != nil {
 			break // it comes on the main connection, too
 		}
+		if lines, told := m.LinesInUse(); told {
+			l.To.Liveness.LinesInUse(at, lines, standing(l.To))
+		}
 		s.event(decide.Event{Kind: decide.Checked, Server: l.To.ID, Outcome: decide.OK, Load: m.Load()})
 	case wire.TypeProgress, wire.TypeTested:
 	default:
--- a/internal/session/replaced_office_test.go
+++ b/internal/session/replaced_office_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"testing"
+
+	"pewterwheel/internal/state"
 )
 
 // replacement is an office's process that hangs at lastWord, is killed some time later, and is replaced by one that knows
@@ -84,9 +86,14 @@
 		{name: "reports often, hangs", hangs: 1200, gap: 150, reports: 500},
 		{name: "reports on, hangs", hangs: 1200, gap: 150, reports: 3200, reportsOn: true},
 		{name: "reports on, hangs for long", hangs: 2400, gap: 150, reports: 3200, reportsOn: true},
+		{name: "nothing is refused", hangs: 1200, reports: 3200},
+		{name: "nothing is refused, killed at once", hangs: 0, reports: 3200},
+		{name: "discovery says nothing of it", hangs: 1200, gap: 150, reports: 3200, discovery: true},
+		{name: "discovery says nothing of it, killed at once", hangs: 0, gap: 2200, reports: 3200, discovery: true},
+		{name: "discovery says nothing of it, nothing is refused", hangs: 1200, reports: 3200, discovery: true},
 	}
 	for _, hangs := range []int{0, 1200, 2400, 5000} {
-		for _, gap := range []int{1000, 2200} {
+		for _, gap := range []int{150, 1000, 2200} {
 			for _, reports := range []int{0, 300, 3200, 5000} {
 				cases = append(cases, replacement{name: fmt.Sprintf("hangs %d ms, is away for %d ms, reports each %d ms", hangs, gap, reports),
 					hangs: hangs, gap: gap, reports: reports})
@@ -127,6 +134,9 @@
 			return append([]string{"5000 o1 close", "5002 o1 > [0c 00000000000000a3 3a[10]]"},
 				every(5003, 200, "o1 > [06 00000000000000b1]")...)
 		}},
+		{name: "its lines lag behind the ends of calls", lines: func() []string {
+			return append([]string{"700 o1 close", "710 o1 > " + freshReport, "800 o1 > [0c 00000000000000a3 3a[10]]"}, every(800, 200, "o1 > "+officeReport(8))...)
+		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			c.extra = []string{
@@ -141,3 +151,42 @@
 		})
 	}
 }
+
+// officeReport is a report of so many free lines of nine.
+func officeReport(free int) string {
+	return fmt.Sprintf(`[2b 0000000000000000 2b["free:%d;size:9"]]`, free)
+}
+
+// Many short calls are left standing for ever at an office that never reports, whose process was replaced without a refused
+// connect: none of them ends, though many ended each second before. Where the process lives, they end one after the other.
+func TestOfficeThatEndsNoneOfManyCalls(t *testing.T) {
+	const calls, distance, holds, lost = 400, 25, 1500, 8010
+	for _, lives := range []bool{false, true} {
+		t.Run(fmt.Sprint("its process lives: ", lives), func(t *testing.T) {
+			p := newPlayer(t)
+			lines := []string{"10 a open", fmt.Sprintf("%d o1 close", lost)}
+			for i := range calls {
+				at := 20 + distance*i
+				lines = append(lines, fmt.Sprintf(`%d a > [01 %016x 10["balance-check"] 13["3000"] 1c["n/%d"] 1f["dest:0;width:1;via:-1"] 3d["offer"]]`, at, i+1, i),
+					fmt.Sprintf(`%d o1 > [09 %016x 3d["d"]]`, at+1, i+1))
+				if end := at + holds; lives || end < lost || at > lost {
+					lines = append(lines, fmt.Sprintf("%d o1 > [0c %016x 3a[10]]", end, i+1))
+				}
+			}
+			slices.SortStableFunc(lines, func(a, b string) int { return at(a) - at(b) })
+			p.step()
+			for _, line := range lines {
+				p.play(line)
+			}
+			p.until(int64(lost+8050) * 1000)
+			for _, st := range p.s.offices.Get("s-00000001").Standing {
+				if st.Since < lost*1000 {
+					t.Errorf("call %d stands still, 8.05 s after its process has ended", st.ID)
+				}
+			}
+			if cut := p.s.Counters[state.ReleasedRestarted]; lives == (cut > 0) {
+				t.Errorf("%d calls were released as those of another process", cut)
+			}
+		})
+	}
+}
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -165,17 +165,40 @@
 // Load reads what a server tells of itself: its free lines, in the state of a group. What cannot be read is
 // not told.
 func (m Message) Load() decide.Load {
-	v, _ := m.Get(ParamLoad)
 	l := decide.NoLoad()
+	m.eachFigure(func(name string, n float64) { l = told(l, name, n) })
+	return l
+}
+
+// LinesInUse reads how many of a server's lines calls of all senders take, where the state of a group tells how many lines
+// there are and how many of them are free.
+func (m Message) LinesInUse() (lines int, told bool) {
+	free, size := -1.0, -1.0
+	m.eachFigure(func(name string, n float64) {
+		switch name {
+		case "free":
+			free = n
+		case "size":
+			size = n
+		}
+	})
+	if free < 0 || size <= 0 || free > size {
+		return 0, false
+	}
+	return int(size - free), true
+}
+
+// eachFigure gives each figure that a server tells of itself and that can be read.
+func (m Message) eachFigure(take func(name string, n float64)) {
+	v, _ := m.Get(ParamLoad)
 	for len(v) > 0 {
 		var field []byte
 		field, v, _ = bytes.Cut(v, []byte{';'})
 		name, value, _ := bytes.Cut(field, []byte{':'})
 		if n, err := strconv.ParseFloat(string(value), 64); err == nil && n >= 0 && n <= maxLoad {
-			l = told(l, string(name), n)
+			take(string(name), n)
 		}
 	}
-	return l
 }
 
 // maxLoad is above any figure of a server; the bound also keeps infinities from the module's sums.
