Connect again within 250 ms to an office whose connections do not last

Cause: after a connection that came up and was soon lost, the pause before the next connect grew to 800 ms, as after refused ones. A release on the connection that ended, and again on the next one, which ended too, came with the one after that: after two pauses.

Evidence: TestReleaseBetweenResetsIsToldInTime failed with connections of 50, 150 and 300 ms: told after 1.30 s, 1.35 s and not within 1.55 s. It passes now.

Why it works: an office that takes connections is there; the pause after one that came up is 250 ms at most, so two of them and what a connection lasts stay within the second. Pauses after refused connects, and those that do not come up, are as they were.

--- a/internal/session/office_connections.go
+++ b/internal/session/office_connections.go
@@ -54,7 +54,7 @@
 	o.Unreached = true
 	o.Liveness.ConnectFailed(s.now, refusedByPeer(err))
 	s.judgeOffice(o)
-	s.redialLater(o)
+	s.redialLater(o, redialMost)
 }
 
 // refusedByPeer tells whether a connect was refused by the office's system, and did not fail in this process.
@@ -113,7 +113,7 @@
 	switch quick := s.now-l.Spoken.Opened < redialMost; {
 	case l.Number != 0: // it says nothing of the main one
 	case quick && o.Backoff != 0: // guards against a connect for each round trip, where each is taken and ended at once
-		s.redialLater(o)
+		s.redialLater(o, reopenMost)
 		return
 	case quick: // the first such loss may be chance
 		o.Backoff = redialFirst / 2
@@ -163,8 +163,9 @@
 	}
 }
 
-func (s *Session) redialLater(o *state.Office) {
-	o.Backoff = min(max(2*o.Backoff, redialFirst), redialMost)
+// redialLater connects again after a pause that doubles each time, up to a bound.
+func (s *Session) redialLater(o *state.Office, most int64) {
+	o.Backoff = min(max(2*o.Backoff, redialFirst), most)
 	o.NotUntil = s.now + o.Backoff
 	s.dialled++
 	s.redials[s.dialled] = o
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -75,6 +75,9 @@
 	maxBefore = 1024
 	// redialFirst and redialMost bound the pause between connects to an office at which calls stand.
 	redialFirst, redialMost = 100_000, 800_000
+	// reopenMost bounds it after a connection that came up and did not last: the office is there, and what it releases on a
+	// connection that ends, and on the next one that does, has to come within a second.
+	reopenMost = 250_000
 	// maxEager offices have a connection each from when they are first named, fewer where descriptors are short; of longer
 	// lists each has it from its first set-up. Guards against thousands of connects at once, most of which nobody will need.
 	maxEager = 512
