Have a successor stay connected for the ends of calls of the process before

Cause: a successor connects once to each office, and again only where calls of its own stand. An office tells the ends of earlier calls on the next connection, and there was none.

Why it works: for 10 s after its start, and after each end of a call of before that it hears of, a process connects again to the offices of before its start as it does where calls stand. Later, a lost connection waits for the next set-up as before.

--- a/internal/session/office_connections.go
+++ b/internal/session/office_connections.go
@@ -156,13 +156,19 @@
 	}
 }
 
-// redial connects again where calls stand or releases wait; else the next set-up does.
+// redial connects again where calls stand, also those of before our start, or releases wait; else the next set-up does.
 func (s *Session) redial(o *state.Office) {
-	if o.State != decide.Removed && (len(o.Standing) > 0 || len(o.Ended) > 0) && s.now >= o.NotUntil {
+	wanted := len(o.Standing) > 0 || len(o.Ended) > 0 || s.inherits(o)
+	if o.State != decide.Removed && wanted && s.now >= o.NotUntil {
 		s.connect(&o.Lane)
 	}
 }
 
+// inherits tells whether calls of the process before may stand at an office.
+func (s *Session) inherits(o *state.Office) bool {
+	return s.now-s.inherited < inheritFor && o.Started <= s.began && len(s.offices.All()) <= s.maxEager
+}
+
 // redialLater connects again after a pause that doubles each time, up to a bound.
 func (s *Session) redialLater(o *state.Office, most int64) {
 	o.Backoff = min(max(2*o.Backoff, redialFirst), most)
--- a/internal/session/offices.go
+++ b/internal/session/offices.go
@@ -230,6 +230,7 @@
 			s.Counters[state.BadIn]++
 			return
 		}
+		s.inherited = s.now
 		s.tellEnd(m.Call, cause, nil) // a call of before our own start
 	}
 	s.over[m.Call] = s.now
--- a/internal/session/reset_office_test.go
+++ b/internal/session/reset_office_test.go
@@ -46,3 +46,45 @@
 		})
 	}
 }
+
+// The end of a call of the process before is never told: its office could not be reached, or lost its connection, as this
+// process started, and no call of this one stands there that it would connect for.
+func TestSuccessorConnectsForCallsOfBefore(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		lines []string
+		back  int // when the office can be reached again
+	}{
+		{"connects did not come up", []string{"40 o1 silent", "41 o1 close", "3000 o1 accept"}, 3000},
+		{"connects were refused", []string{"40 o1 refuse", "41 o1 close", "2000 o1 accept"}, 2000},
+		{"its connection was lost", []string{"1000 o1 close"}, 1000},
+		{"its connection was lost, and it drains", []string{
+			"900 j > {0000000000000002 02 00000001 7f000001 03e9 01 00 00 0000 000003e8 0000000000000000}", "1000 o1 close"}, 1000},
+		{"its connection was lost, and the next ones did not come up", []string{"1000 o1 silent", "1001 o1 close", "5000 o1 accept"}, 5000},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := newPlayer(t)
+			up := int64(0)
+			p.came = func(conn *fakeConn) {
+				if conn.name == "o1" {
+					up = p.now
+				}
+			}
+			p.step()
+			p.play("10 a open")
+			p.play(`12 a > [01 00000000000000a1 10["balance-check"] 13["3000"] 1c["n/1"] 1f["dest:1;width:1;via:-1"] 3d["offer"]]`)
+			p.play(`30 o2 > [09 00000000000000a1 3d["d1"]]`)
+			for _, line := range c.lines {
+				p.play(line)
+			}
+			p.until(int64(c.back+1000) * 1000)
+			if up < int64(c.back)*1000 {
+				t.Fatalf("the last connection came up at %d ms, want one between %d and %d ms", up/1000, c.back, c.back+1000)
+			}
+			p.play(fmt.Sprintf("%d o1 > [0c 00000000000000b7 3a[10]]", c.back+1000))
+			if at, _ := releasedCall(p.lines, "b7"); at == 0 {
+				t.Error("the caller was not told of the end of a call of before")
+			}
+		})
+	}
+}
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -78,6 +78,9 @@
 	// reopenMost bounds it after a connection that came up and did not last: the office is there, and what it releases on a
 	// connection that ends, and on the next one that does, has to come within a second.
 	reopenMost = 250_000
+	// inheritFor is how long after its start, and after the last end of a call of before it, this process counts on further
+	// ones: it connects again to all offices, for their releases come on the next connection.
+	inheritFor = 10_000_000
 	// maxEager offices have a connection each from when they are first named, fewer where descriptors are short; of longer
 	// lists each has it from its first set-up. Guards against thousands of connects at once, most of which nobody will need.
 	maxEager = 512
@@ -179,6 +182,7 @@
 	redials                         map[uint64]*state.Office // those that wait to be dialled again, by the wait's number
 	dialled                         uint64
 	began                           int64
+	inherited                       int64 // when a call of before our start was last heard of; at first the start
 	stop                            int64 // when SIGTERM came; 0: not
 	left                            bool  // nobody listens for callers any more
 	drain                           int64 // since when callers are sent away though the program goes on; 0: they are not
@@ -199,7 +203,7 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	s := &Session{net: net, node: node, log: log, now: now, stepped: now, wheel: state.NewWheel(wheelTick, now),
-		began: now, ends: make([]state.Ends, len(cfg.Settings.Classes)), set: cfg.Settings, classes: map[string]int{}, names: map[string]string{}, maxTries: set.MaxTries, maxHeld: cfg.Settings.Limits.MaxHeld,
+		began: now, inherited: now, ends: make([]state.Ends, len(cfg.Settings.Classes)), set: cfg.Settings, classes: map[string]int{}, names: map[string]string{}, maxTries: set.MaxTries, maxHeld: cfg.Settings.Limits.MaxHeld,
 		maxCallers: max(leastCallers, cfg.Sockets/2), maxAskers: askers(cfg.Sockets), room: cfg.Sockets - reserved(cfg.Sockets), maxBytes: math.MaxInt64, dialLimit: cfg.Settings.DialLimit().Microseconds(),
 		roles: map[state.Conn]any{}, calls: map[uint64]*state.Call{},
 		stands: map[uint64]*state.Standing{}, unsent: map[uint64]state.Ending{}, before: map[uint64]state.Ending{}, over: map[uint64]int64{},
