Judge an office's silent processor as a process ends, though its reports go on

Cause: as a process ends, doubt is enough for calls to be released; but the silence that had to go with it was that of the connection, which reports end each time.

Evidence: TestSilentOfficeAsTheProcessEnds, "a set-up has no answer, and reports go on", failed: released never; it passes now. The case beside it, where the set-up was answered, keeps its call.

Why it works: 1.5 s without a message of a call, with a set-up given up or two out for 0.3 s without an answer, count as much then. A slow office that answers within 1.5 s keeps its calls (TestDepartingFromAnOfficeThatReportsOn).

--- a/internal/liveness/liveness.go
+++ b/internal/liveness/liveness.go
@@ -27,6 +27,8 @@
 	listSilence = 3_000_000
 	// departingAfter is the silence that counts when this process ends, and cannot wait for more evidence.
 	departingAfter = 1_000_000
+	// departingStalled is how long no message of a call may have come then, with set-ups unanswered, though reports go on.
+	departingStalled = 1_500_000
 )
 
 // State is what is believed of an office.
@@ -194,14 +196,23 @@
 	return o.become(state, reason), true
 }
 
+// LastObservation is what is seen of an office as this process is about to end.
+type LastObservation struct {
+	Usual      Rhythm // the usual time between two reports
+	Connected  bool
+	Unanswered int // set-ups that are out and should have been answered, as in Lost
+}
+
 // JudgeDeparting decides on an office at which calls stand when this process is about to end. A later one knows nothing of
 // them, so doubt is enough: a report overdue by the usual time between two, no connection, a set-up without an answer, or a
-// silence that has been inspected.
-func (o *Office) JudgeDeparting(now int64, usual Rhythm, connected bool) (Transition, bool) {
+// silence that has been inspected. Where reports go on, the silence of its processor counts.
+func (o *Office) JudgeDeparting(now int64, seen LastObservation) (Transition, bool) {
 	silent := now - o.spoke
-	overdue := usual != 0 && silent >= int64(usual+usual/2)
-	doubted := overdue || !connected || o.unanswered > 0 || silent >= inspectAfter
-	if !doubted || silent < departingAfter {
+	overdue := seen.Usual != 0 && silent >= int64(seen.Usual+seen.Usual/2)
+	doubted := overdue || !seen.Connected || o.unanswered > 0 || silent >= inspectAfter
+	unanswered := o.unanswered > 0 || seen.Unanswered >= leastUnanswered
+	stalled := unanswered && now-o.served >= departingStalled
+	if !stalled && (!doubted || silent < departingAfter) {
 		return Transition{}, false
 	}
 	return o.become(Unresponsive, Departing), true
--- a/internal/liveness/liveness_test.go
+++ b/internal/liveness/liveness_test.go
@@ -237,9 +237,40 @@
 		if c.lost {
 			o.Unanswered(11*second, 10*second+second/10)
 		}
-		change, told := o.JudgeDeparting(10*second+c.silent, c.usual, c.connected)
+		change, told := o.JudgeDeparting(10*second+c.silent, LastObservation{Usual: c.usual, Connected: c.connected})
 		if told != c.want || told && (change.To != Unresponsive || change.Reason != Departing) {
 			t.Errorf("%s: %+v %t, want %t", c.name, change, told, c.want)
 		}
 	}
 }
+
+// An office whose reports go on, and whose processor has done nothing for a while, is in doubt when this process ends; a slow
+// one is not.
+func TestDepartingFromAnOfficeThatReportsOn(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		lost    int // set-ups given up without an answer
+		out     int // set-ups out for long
+		served  int64
+		stalled bool
+	}{
+		{"answers", 0, 0, second / 2, false},
+		{"slow", 0, 2, second, false},
+		{"one out", 0, 1, 2 * second, false},
+		{"two out", 0, 2, 2 * second, true},
+		{"one lost", 1, 0, 2 * second, true},
+		{"nothing asked", 0, 0, 5 * second, false},
+	} {
+		var o Office
+		o.Heard(Message{At: 10 * second, OfCall: true, Main: true})
+		now := 10*second + c.served
+		for range c.lost {
+			o.Unanswered(now, 10*second+second/10)
+		}
+		o.Heard(message(now - second/10))
+		seen := LastObservation{Usual: second / 2, Connected: true, Unanswered: c.out}
+		if change, told := o.JudgeDeparting(now, seen); told != c.stalled {
+			t.Errorf("%s: %+v %t, want %t", c.name, change, told, c.stalled)
+		}
+	}
+}
--- a/internal/session/office_liveness.go
+++ b/internal/session/office_liveness.go
@@ -108,8 +108,8 @@
 
 // judgeDeparting releases what stands at an office of which there is doubt, while its callers are still connected.
 func (s *Session) judgeDeparting(o *state.Office) {
-	usual := max(s.rhythm, o.Spoken.Rhythm)
-	if t, changed := o.Liveness.JudgeDeparting(s.now, usual, o.Conn != nil); changed && len(o.Standing) > 0 {
+	seen := liveness.LastObservation{Usual: max(s.rhythm, o.Spoken.Rhythm), Connected: o.Conn != nil, Unanswered: s.unanswered(&o.Lane)}
+	if t, changed := o.Liveness.JudgeDeparting(s.now, seen); changed && len(o.Standing) > 0 {
 		s.officeBecame(o, t)
 	}
 }
--- a/internal/session/silent_office_test.go
+++ b/internal/session/silent_office_test.go
@@ -202,6 +202,12 @@
 			return []string{"506 o1 refuse", "507 o1 close", term}
 		}}, true},
 		{officeCase{name: "a set-up has no answer", lines: func() []string { return []string{setUpAt(600, 1), term} }}, true},
+		{officeCase{name: "a set-up has no answer, and reports go on", reports: true, lines: func() []string {
+			return append(reports, setUpAt(600, 1), term)
+		}}, true},
+		{officeCase{name: "a set-up was answered, and reports go on", reports: true, lines: func() []string {
+			return append(reports, setUpAt(600, 1), `700 o1 > [09 0000000000000101 3d["d1"]]`, term)
+		}}, false},
 		{officeCase{name: "never reported, suspected", lines: func() []string { return []string{"4000 term"} }}, true},
 		{officeCase{name: "reports", reports: true, lines: func() []string { return append(reports, term) }}, false},
 		{officeCase{name: "never reports, and nothing is out", lines: func() []string { return []string{term} }}, false},
