Release calls in time also where this process stands still or its rounds are late

What callers saw: at a silent office the end of a call was told up to 8.55 s after it where the controller had stood still for a second as its time came, and never where each of its rounds was over 40 ms after the one before.

Cause: no office was judged in a late round, nor for 0.7 s after a stand-still of 1 s, whatever a call had left of its 8 s.

Evidence: TestStandStillPutsNoEndOff failed in two of five cases, told after 8.30 and 8.55 s; TestLateRoundsPutNoEndOff: never in 30 s. Both pass now.

Why it works: putting a judgement off ends where it would carry a call past 7.9 s after the last word of the process that holds it; 0.1 s of running stays even then after a long stand-still, in which what has come is read, and an office with bytes unread is still not judged (TestWordDuringAStandStillIsHeard).

--- a/internal/liveness/liveness.go
+++ b/internal/liveness/liveness.go
@@ -8,6 +8,8 @@
 const (
 	// releaseAfter is how long an office may say nothing, or end nothing, before calls that stand there are over.
 	releaseAfter = 7_000_000
+	// tellWithin is the latest time after its last word at which such calls are released, whatever else there is to wait for.
+	tellWithin = 7_900_000
 	// inspectAfter is how long it may say nothing before a new connection is to show whether it still does.
 	inspectAfter = releaseAfter / 2
 	// refusedFor and unreachableFor are how long connects may be refused, and may not come up. A refused one proves that
@@ -186,6 +188,15 @@
 	}
 }
 
+// CanWait tells whether judging the office may wait for so long: no bound of calls that stand there passes meanwhile.
+func (o *Office) CanWait(now, wait int64) bool {
+	word := o.spoke
+	for _, g := range o.gaps {
+		word = min(word, g.spoke)
+	}
+	return now+wait <= word+tellWithin
+}
+
 // Judge decides on an office at which calls stand. It tells of an unresponsive one each time, for the calls that are still to
 // be released. Not to be asked while this process has just stood still: what came meanwhile may not have been read yet.
 func (o *Office) Judge(now int64) (Transition, bool) {
--- a/internal/session/office_liveness.go
+++ b/internal/session/office_liveness.go
@@ -14,6 +14,8 @@
 	// read and connected to before their silence counts.
 	longStandStill = 1_000_000
 	settleFor      = 700_000
+	// settleLeast is what is left of it where the time of calls would run out: what waits to be read is read within it.
+	settleLeast = 100_000
 )
 
 // watchClock is when offices were last looked at, and how much of this process's own stand-still is still to be settled.
@@ -36,6 +38,15 @@
 	return elapsed > 2*watch
 }
 
+// settled tells whether an office may be judged: a stand-still is over for long enough, or calls that stand there can't wait.
+func (s *Session) settled(o *state.Office) bool {
+	left := s.watched.settling
+	if left > settleFor-settleLeast {
+		return false
+	}
+	return left <= 0 || !o.Liveness.CanWait(s.now, left)
+}
+
 // watchOffices ends connections to offices on which a message has begun and does not end, or nothing comes any more, and
 // releases the calls that stand at an office that can't end them.
 func (s *Session) watchOffices() {
@@ -43,11 +54,12 @@
 	stoodStill := s.watched.advance(s.now)
 	for _, o := range s.offices.All() {
 		s.watchOffice(&o.Lane, len(o.Standing), stoodStill)
-		if len(o.Standing) > 0 && !stoodStill {
-			s.inspectOffice(o)
-			s.judgeOffice(o)
-			s.judgeRestart(o)
+		if len(o.Standing) == 0 || stoodStill && o.Liveness.CanWait(s.now, settleLeast) {
+			continue
 		}
+		s.inspectOffice(o)
+		s.judgeOffice(o)
+		s.judgeRestart(o)
 	}
 	if s.lanes.laner != nil {
 		s.watchLanes(stoodStill)
@@ -92,7 +104,7 @@
 
 // judgeOffice releases the calls that stand at an office if it can't end them any more.
 func (s *Session) judgeOffice(o *state.Office) {
-	if len(o.Standing) == 0 || s.watched.settling > 0 || o.Conn != nil && o.Conn.Unread() {
+	if len(o.Standing) == 0 || !s.settled(o) || o.Conn != nil && o.Conn.Unread() {
 		return
 	}
 	if t, changed := o.Liveness.Judge(s.now); changed {
@@ -168,7 +180,7 @@
 
 // judgeRestart releases the calls of a process of the office that has ended, where another one speaks for it.
 func (s *Session) judgeRestart(o *state.Office) {
-	if s.watched.settling > 0 || o.Conn != nil && o.Conn.Unread() {
+	if !s.settled(o) || o.Conn != nil && o.Conn.Unread() {
 		return
 	}
 	list := liveness.List{Heard: s.source.Heard(), Lost: s.journal.lost}
--- a/internal/session/replaced_office_test.go
+++ b/internal/session/replaced_office_test.go
@@ -190,3 +190,62 @@
 		})
 	}
 }
+
+// A caller is left waiting for the end of a call at a silent office, as this process stood still when its time came.
+func TestStandStillPutsNoEndOff(t *testing.T) {
+	for _, c := range []struct{ from, until int }{{6500, 7600}, {5000, 7000}, {6900, 7800}, {3000, 5000}, {6000, 7850}} {
+		t.Run(fmt.Sprintf("from %d ms to %d ms after the last word", c.from, c.until), func(t *testing.T) {
+			p := newPlayer(t)
+			p.step()
+			p.play("10 a open")
+			p.play(`12 a > [01 00000000000000a1 10["balance-check"] 13["3000"] 1c["n/1"] 1f["dest:0;width:1;via:-1"] 3d["offer"]]`)
+			p.play(`30 o1 > [09 00000000000000a1 3d["d1"]]`)
+			p.play(fmt.Sprintf("%d o1 > [06 00000000000000a1]", lastWord))
+			p.until(int64(lastWord+c.from) * 1000)
+			p.now = int64(lastWord+c.until) * 1000
+			p.step()
+			p.until(watchedFor * 1000)
+			if at, _ := released(p.lines); at == 0 || at > toldBy {
+				t.Errorf("the caller was told of the end of its call at %d ms, want by %d ms (0: never)", at, toldBy)
+			}
+		})
+	}
+}
+
+// A call is cut at an office that spoke while this process stood still, and whose word waits to be read.
+func TestWordDuringAStandStillIsHeard(t *testing.T) {
+	p := newPlayer(t)
+	p.step()
+	p.play("10 a open")
+	p.play(`12 a > [01 00000000000000a1 10["balance-check"] 13["3000"] 1c["n/1"] 1f["dest:0;width:1;via:-1"] 3d["offer"]]`)
+	p.play(`30 o1 > [09 00000000000000a1 3d["d1"]]`)
+	p.play(fmt.Sprintf("%d o1 > [06 00000000000000a1]", lastWord))
+	p.until((lastWord + 500) * 1000)
+	p.now = (lastWord + 12_000) * 1000
+	p.step()
+	p.play(fmt.Sprintf("%d o1 waiting", lastWord+12_010))
+	p.play(fmt.Sprintf("%d o1 idle", lastWord+12_300))
+	p.play(fmt.Sprintf("%d o1 > [06 00000000000000a1]", lastWord+12_300))
+	p.until((lastWord + 13_500) * 1000)
+	if at, _ := released(p.lines); at != 0 {
+		t.Errorf("the call was released at %d ms, though its office spoke", at)
+	}
+}
+
+// A caller is left waiting for the end of a call at a silent office by a process so short of processor that each of its rounds
+// comes late.
+func TestLateRoundsPutNoEndOff(t *testing.T) {
+	p := newPlayer(t)
+	p.step()
+	p.play("10 a open")
+	p.play(`12 a > [01 00000000000000a1 10["balance-check"] 13["3000"] 1c["n/1"] 1f["dest:0;width:1;via:-1"] 3d["offer"]]`)
+	p.play(`30 o1 > [09 00000000000000a1 3d["d1"]]`)
+	p.play(fmt.Sprintf("%d o1 > [06 00000000000000a1]", lastWord))
+	for p.now < watchedFor*1000 {
+		p.now += 60_000
+		p.step()
+	}
+	if at, _ := released(p.lines); at == 0 || at > toldBy {
+		t.Errorf("the caller was told of the end of its call at %d ms, want by %d ms (0: never)", at, toldBy)
+	}
+}
