Count a set-up that was on its way at an office's last word as unanswered

Cause: two set-ups without an answer since the last message of a call tell that an office answers none; one sent 0.1 s before that message did not count, and the module tries a silent office again only after 5.8 s.

Evidence: TestSetUpOnItsWayAtTheLastWordCounts failed: responsive after 7 s.

Why it works: only a set-up that others overtook by more than 0.3 s is taken for lost. Any answer still sets the count back.

--- a/internal/liveness/liveness.go
+++ b/internal/liveness/liveness.go
@@ -154,10 +154,11 @@
 	return true
 }
 
-// Unanswered notes a set-up that was sent at a time and is given up without an answer. One during which others were
-// answered got lost on its way, and tells nothing of the office.
+// Unanswered notes a set-up that was sent at a time and is given up without an answer. One that others overtook, which were
+// answered long after it was sent, got lost on its way, and tells nothing of the office.
 func (o *Office) Unanswered(now, sent int64) {
-	if out := now - sent; out >= leastWait && o.served <= sent {
+	overtaken := o.served-sent > leastWait
+	if out := now - max(sent, o.served); out >= leastWait && !overtaken {
 		o.unanswered++
 		o.waited += out
 	}
--- a/internal/liveness/liveness_test.go
+++ b/internal/liveness/liveness_test.go
@@ -274,3 +274,22 @@
 		}
 	}
 }
+
+// A set-up that was on its way as the office said its last word is without an answer as much as one sent after it.
+func TestSetUpOnItsWayAtTheLastWordCounts(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		sent int64 // before the last word
+		want bool
+	}{{"just before", second / 10, true}, {"long before, and others were answered", second, false}} {
+		var o Office
+		o.Heard(Message{At: 10 * second, OfCall: true, Main: true})
+		o.Unanswered(11*second, 10*second-c.sent)
+		o.Unanswered(12*second, 11*second)
+		o.Heard(message(17 * second))
+		change, told := o.Judge(17 * second)
+		if judged := told && change.To == Unresponsive && change.Reason == Stalled; judged != c.want {
+			t.Errorf("%s: %+v, want unresponsive %t", c.name, change, c.want)
+		}
+	}
+}
