Keep a quiet connection to an office open until the one in its place is up

Cause: after 3.5 s of silence its connection was ended so that another one should show whether it speaks. That one did not come up, and the release was written on the one that had been ended.

Evidence: TestReleaseOnAQuietConnectionIsHeard failed: the connection was ended with nothing in its place. The office's side of the relay kept it open, as a network does that passes nothing on.

Why it works: the new connection is opened beside the present one, which ends once the new one is up, and stays where a set-up has gone out on it meanwhile. Silence of 7 s ends it as before, so a refused connect is no longer the sooner verdict in this case (6.0 s before, 7.0 s now).

--- a/internal/session/office_connections.go
+++ b/internal/session/office_connections.go
@@ -21,8 +21,23 @@
 	}
 }
 
+// connectBeside opens a connection that is to take the place of the present one once it has come up.
+func (s *Session) connectBeside(o *state.Office) {
+	if o.Dialling == 0 && s.now >= o.NotUntil {
+		o.Dialling = s.dial(o.Address.String(), &o.Lane)
+	}
+}
+
 func (s *Session) officeOpen(l *state.Lane, conn state.Conn) {
 	o := l.To
+	if l.Conn != nil {
+		if len(l.Out) > 0 { // what is out there would be reset
+			l.Dialling = 0
+			_ = conn.Close() // nothing was written to it
+			return
+		}
+		s.drop(l.Conn, errMute)
+	}
 	if l.Dialling, l.In = 0, nil; l.Number == 0 { // the backoff goes on until a connection has lasted
 		o.Unreached = false
 		o.Liveness.Connected()
@@ -46,6 +61,10 @@
 	o := l.To
 	l.Dialling = 0
 	s.laneLog(l).Warn("office unreached", "office", o.ID, "error", err)
+	if l.Conn != nil {
+		s.redialLater(o, redialMost)
+		return
+	}
 	s.unreached(l)
 	if l.Number != 0 {
 		s.laneOver(l)
--- a/internal/session/office_liveness.go
+++ b/internal/session/office_liveness.go
@@ -84,13 +84,14 @@
 	}
 }
 
-// inspectOffice ends a silent connection on which nothing is out, so that the next one shows whether the office still speaks.
+// inspectOffice replaces a silent connection on which nothing is out, so that the next one shows whether the office still
+// speaks. The present one stays until that is up: where nothing passes to the office, what it says may still come.
 func (s *Session) inspectOffice(o *state.Office) {
 	if o.Conn == nil || len(o.Out) > 0 || o.Conn.Unread() {
 		return
 	}
 	if o.Liveness.Inspect(s.now, o.Spoken.Opened) {
-		s.drop(o.Conn, errMute)
+		s.connectBeside(o)
 	}
 }
 
--- a/internal/session/reset_office_test.go
+++ b/internal/session/reset_office_test.go
@@ -88,3 +88,26 @@
 		})
 	}
 }
+
+// A caller is told late of the end of a call at an office that never reports, to which nothing passes: its connection was
+// ended after 3.5 s of silence, and with it the way on which the office released the call.
+func TestReleaseOnAQuietConnectionIsHeard(t *testing.T) {
+	for _, connects := range []string{"silent", "refuse"} {
+		t.Run("connects: "+connects, func(t *testing.T) {
+			p := newPlayer(t)
+			p.step()
+			p.play("10 a open")
+			p.play(`12 a > [01 00000000000000a1 10["balance-check"] 13["3000"] 1c["n/1"] 1f["dest:0;width:1;via:-1"] 3d["offer"]]`)
+			p.play(`30 o1 > [09 00000000000000a1 3d["d1"]]`)
+			p.play("600 o1 " + connects)
+			p.until(6_000_000)
+			if p.conns["o1"].dead {
+				t.Fatal("the connection was ended, and no other one had come up")
+			}
+			p.play("6000 o1 > [0c 00000000000000a1 3a[10]]")
+			if at, _ := released(p.lines); at == 0 || at > 7050 {
+				t.Errorf("the caller was told of the end at %d ms, want by 7050 ms (0: never)", at)
+			}
+		})
+	}
+}
