Believe an office's lines in use before it has reported beside standing calls

Cause: reports were believed only once one had agreed with calls that stood; this office had reported once, with none. And the first report of a new process itself counted against the next one's.

Evidence: TestFewerLinesInUse, "none before", and TestFewerLinesInUseTwice failed. The former wanted the opposite since: it was mine, and too careful; an office whose reports disagreed with standing calls is still not judged by them.

Why it works: only a report that disagreed with calls of the present process takes trust away, and calls in question are no longer compared for it.

--- a/internal/liveness/incarnation.go
+++ b/internal/liveness/incarnation.go
@@ -43,7 +43,7 @@
 	served  int64 // the last message of a call before it, which proves that its processor worked
 	stalled bool  // set-ups had no answer between served and the loss
 	ends    int   // calls that the office ended in the last releaseAfter before spoke
-	trusted bool  // the last report of lines before it agreed with the calls that stood
+	trusted bool  // no report of lines before it spoke against the calls that stood
 	first   int64 // the first message on the main connection after it; 0: none yet
 	refused bool  // a connect was refused in it
 	blind   bool  // the list could not be heard while it had to tell of a new start
@@ -52,9 +52,9 @@
 
 // incarnations is what is known of the processes that an office has been, one after the other.
 type incarnations struct {
-	gaps   []gap // those that calls still stand from before of, oldest first
-	ends   endsHistory
-	agrees bool // the last report of lines agreed with the calls that stood
+	gaps      []gap // those that calls still stand from before of, oldest first
+	ends      endsHistory
+	disagrees bool // the last report of lines spoke against the calls that stood
 }
 
 // Lost is what was seen of a connection as it was lost.
@@ -86,7 +86,7 @@
 		served:  o.served,
 		stalled: unanswered > 0 || o.unanswered > 0,
 		ends:    o.ends.since(o.spoke - releaseAfter),
-		trusted: o.agrees,
+		trusted: !o.disagrees,
 	})
 }
 
@@ -132,8 +132,12 @@
 
 // LinesInUse notes a report of how many lines are in use at the office, by calls of all senders.
 func (o *Office) LinesInUse(now int64, lines int, standing Standing) {
-	if all := standing(0, now+1); all > 0 {
-		o.agrees = lines >= all
+	since := int64(0) // calls of before a gap are in question
+	if last := len(o.gaps) - 1; last >= 0 {
+		since = o.gaps[last].lost
+	}
+	if own := standing(since, now+1); own > 0 {
+		o.disagrees = lines < own
 	}
 	for i := range o.gaps {
 		g := &o.gaps[i]
@@ -211,7 +215,7 @@
 // process say counts from the last time at which the old one is known to have worked.
 func (g *gap) due(evidence Evidence) int64 {
 	word := g.spoke
-	if g.stalled || evidence == FewerLines {
+	if g.served != 0 && (g.stalled || evidence == FewerLines) {
 		word = g.served
 	}
 	return max(word+releaseAfter, g.first+settleAfter)
