Have soak offices be killed and replaced, and report their true lines at any distance

Seeds from 1000 on draw offices that hang, are killed and replaced: refused for a while, without a refused connect, or by turns; told by discovery within a second, or, where offices report their lines, not at all. They report each 0.3 to 5 s, with the lines that calls take. Earlier seeds draw what they did. The relays can refuse connects, so that controllers see what a killed process shows.

--- a/internal/fleettest/relay.go
+++ b/internal/fleettest/relay.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"hash/fnv"
 	"io"
 	"math/rand/v2"
@@ -291,17 +292,7 @@
 
 func (r *Relay) start() {
 	r.work.Add(1)
-	go func() {
-		defer r.work.Done()
-		for {
-			c, err := r.streams.Accept()
-			if err != nil {
-				return
-			}
-			r.work.Add(1)
-			go func() { defer r.work.Done(); r.stream(c) }()
-		}
-	}()
+	go r.accept(r.streams)
 	if r.packets == nil {
 		return
 	}
@@ -321,6 +312,46 @@
 	}()
 }
 
+func (r *Relay) accept(l net.Listener) {
+	defer r.work.Done()
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		r.work.Add(1)
+		go func() { defer r.work.Done(); r.stream(c) }()
+	}
+}
+
+// Refuse has new streams refused, as where nobody listens.
+func (r *Relay) Refuse() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_ = r.streams.Close()
+}
+
+// Listen takes new streams again, after Refuse.
+func (r *Relay) Listen() error {
+	address, err := net.ResolveTCPAddr("tcp4", r.Address)
+	if err != nil {
+		return err
+	}
+	l, err := net.ListenTCP("tcp4", address)
+	if err != nil {
+		return fmt.Errorf("relay to %v listens again: %w", r.aim(), err)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ended {
+		return l.Close()
+	}
+	r.streams = l
+	r.work.Add(1)
+	go r.accept(l)
+	return nil
+}
+
 // keep notes a connection, to be ended with the relay; false: it has ended.
 func (r *Relay) keep(c net.Conn) bool {
 	r.mu.Lock()
--- a/internal/soak/discovery.go
+++ b/internal/soak/discovery.go
@@ -11,6 +11,7 @@
 
 // States of an office on the list.
 const (
+	stateReady    = 0
 	stateDraining = 1
 	stateGone     = 2
 )
@@ -87,12 +88,12 @@
 // firstEvent is the number of the event that the configuration holds.
 const firstEvent = 1
 
-// tell adds a change of one office.
-func (d *discovery) tell(id uint32, address string, state byte) {
+// tell adds a change of one office; started is the Unix millisecond of its start, or 0.
+func (d *discovery) tell(id uint32, address string, state byte, started int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	number := uint64(firstEvent + len(d.frames) + 1)
-	d.frames = append(d.frames, frame(number, 2, record(id, address, state)))
+	d.frames = append(d.frames, frame(number, 2, record(id, address, state, started)))
 	d.changed()
 }
 
@@ -127,7 +128,7 @@
 }
 
 // record is an office's: id, address, port, state, zone, kind, cell, weight in thousandths, start.
-func record(id uint32, address string, state byte) []byte {
+func record(id uint32, address string, state byte, started int64) []byte {
 	at := netip.MustParseAddrPort(address)
 	ip := at.Addr().As4()
 	b := binary.BigEndian.AppendUint32(nil, id)
@@ -136,5 +137,5 @@
 	b = append(b, state, 0, 0)
 	b = binary.BigEndian.AppendUint16(b, uint16(id-1))
 	b = binary.BigEndian.AppendUint32(b, 1000)
-	return binary.BigEndian.AppendUint64(b, 0)
+	return binary.BigEndian.AppendUint64(b, uint64(started))
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -25,13 +25,23 @@
 	Resets                    // its connections are reset again and again
 	Drained                   // it drains on the list, and goes some seconds later
 	HungAndDrain              // it hangs, and drains on the list meanwhile
-	faults
+	faultsOfFirstForm
+
+	// Those that seeds from firstOfSecondForm on draw, too.
+	Replaced        // it hangs, is killed, and another process that knows nothing of its calls takes its place
+	ReplacedAtOnce  // the same, and no connect is refused meanwhile
+	ReplacedInTurns // it is killed and replaced again and again
+	faults          = iota - 1
 )
 
+// firstOfSecondForm is the first seed that draws replaced offices, and how often offices report. Earlier ones draw what they
+// always did: tests and known failures name them.
+const firstOfSecondForm = 1000
+
 // String names the fault.
 func (f Fault) String() string {
 	return [...]string{"well", "hung", "hung-reports", "hung-for", "gone", "vanished", "vanished-for", "unheard", "unreachable",
-		"resets", "drained", "hung-and-drains"}[f]
+		"resets", "drained", "hung-and-drains", "", "replaced", "replaced-at-once", "replaced-in-turns"}[f]
 }
 
 // Trouble is a fault of one office, with its time from the start of the trial and how long it lasts where it does.
@@ -39,6 +49,8 @@
 	Fault Fault
 	At    time.Duration
 	Lasts time.Duration
+	Gap   time.Duration // how long connects are refused
+	Told  time.Duration // when after its start discovery tells of a new process; 0: never
 }
 
 // Plan is all that is drawn of a trial.
@@ -47,6 +59,7 @@
 	Controllers int
 	Offices     []Trouble
 	Reports     bool          // offices tell of their free lines
+	ReportEvery time.Duration // how often; 0: as the stand-in does
 	Deadline    time.Duration // of the class
 	Resend      time.Duration
 	Hold        time.Duration   // mean
@@ -64,7 +77,7 @@
 	p := Plan{Seed: seed, Controllers: 2 + rng.IntN(3), Reports: rng.IntN(2) == 0, Deadline: between(600*time.Millisecond, 4*time.Second),
 		Resend: between(250*time.Millisecond, 600*time.Millisecond), Hold: between(500*time.Millisecond, 5*time.Second), Rate: 6 + 14*rng.Float64()}
 	for i := range 2 + rng.IntN(3) {
-		t := Trouble{Fault: Fault(rng.IntN(int(faults))), At: between(1500*time.Millisecond, 6*time.Second), Lasts: between(500*time.Millisecond, 9*time.Second)}
+		t := Trouble{Fault: Fault(rng.IntN(int(faultsOfFirstForm))), At: between(1500*time.Millisecond, 6*time.Second), Lasts: between(500*time.Millisecond, 9*time.Second)}
 		if i == 0 {
 			t = Trouble{} // one is always there to serve
 		}
@@ -80,12 +93,37 @@
 		}
 		p.Stops = append(p.Stops, stop)
 	}
+	if seed >= firstOfSecondForm {
+		p.drawReplaced(rand.New(rand.NewPCG(seed, 0x4e91)))
+	}
 	return p
 }
 
+// drawReplaced has some of the offices be replaced in place of what else was drawn for them.
+func (p *Plan) drawReplaced(rng *rand.Rand) {
+	between := func(low, high time.Duration) time.Duration {
+		return low + time.Duration(rng.Float64()*float64(high-low))
+	}
+	if p.Reports {
+		p.ReportEvery = between(300*time.Millisecond, 5*time.Second)
+	}
+	for i := range p.Offices[1:] {
+		t := Trouble{At: between(2500*time.Millisecond, 6*time.Second), Lasts: between(0, 4*time.Second), Gap: between(100*time.Millisecond, 2200*time.Millisecond)}
+		t.Fault = Replaced + Fault(rng.IntN(int(faults-Replaced)))
+		told := between(10*time.Millisecond, time.Second)
+		untold := rng.IntN(2) == 0
+		if !p.Reports || !untold {
+			t.Told = told // where offices report nothing, discovery has to
+		}
+		if rng.IntN(3) > 0 {
+			p.Offices[i+1] = t
+		}
+	}
+}
+
 // String tells the plan in one line.
 func (p Plan) String() string {
-	text := fmt.Sprintf("%d controllers, reports %t, deadline %v, hold %v, %.0f/s each:", p.Controllers, p.Reports,
+	text := fmt.Sprintf("%d controllers, reports %t %v, deadline %v, hold %v, %.0f/s each:", p.Controllers, p.Reports, p.ReportEvery.Round(10*time.Millisecond),
 		p.Deadline.Round(time.Millisecond), p.Hold.Round(time.Millisecond), p.Rate)
 	for _, t := range p.Offices {
 		if t.Fault == Well {
@@ -93,9 +131,12 @@
 			continue
 		}
 		text += fmt.Sprintf(" %v@%v", t.Fault, t.At.Round(100*time.Millisecond))
-		if t.Fault == HungFor || t.Fault == VanishedFor {
+		if t.Fault == HungFor || t.Fault == VanishedFor || t.Fault >= Replaced {
 			text += fmt.Sprintf("+%v", t.Lasts.Round(100*time.Millisecond))
 		}
+		if t.Fault >= Replaced {
+			text += fmt.Sprintf("(refuses %v, told %v)", t.Gap.Round(10*time.Millisecond), t.Told.Round(10*time.Millisecond))
+		}
 	}
 	if p.Silence.Lasts != 0 {
 		text += fmt.Sprintf(", discovery silent@%v+%v", p.Silence.At.Round(100*time.Millisecond), p.Silence.Lasts.Round(100*time.Millisecond))
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -5,7 +5,7 @@
 // A seed draws the same plan each time, and every fault is drawn by some seed.
 func TestDraw(t *testing.T) {
 	drawn := map[Fault]bool{}
-	for seed := uint64(1); seed <= 200; seed++ {
+	for seed := uint64(firstOfSecondForm - 200); seed < firstOfSecondForm+200; seed++ {
 		plan := Draw(seed)
 		if again := Draw(seed).String(); again != plan.String() {
 			t.Fatalf("seed %d: %s, and then %s", seed, plan, again)
@@ -17,7 +17,7 @@
 			drawn[trouble.Fault] = true
 		}
 	}
-	if len(drawn) != int(faults) {
+	if len(drawn) != int(faults)-1 { // faultsOfFirstForm is none
 		t.Errorf("%d faults of %d are drawn", len(drawn), int(faults))
 	}
 }
--- a/internal/soak/trial.go
+++ b/internal/soak/trial.go
@@ -26,6 +26,7 @@
 	toldWithin = 7 * time.Second
 	takeOver   = 1200 * time.Millisecond // a successor starts this long before its predecessor is told to end
 	class      = "sale-auth"
+	officeSize = 2000 // lines of an office that tells how many it has
 )
 
 // Result is what a trial showed.
@@ -43,6 +44,7 @@
 	listen  string
 	config  string
 	states  []string // of the offices on the list
+	started []int64  // Unix milliseconds of their starts; 0: long ago
 	events  int      // of the list so far
 	process *exec.Cmd
 	ended   chan error
@@ -104,7 +106,11 @@
 			defer mu.Unlock()
 			return time.Duration(rng.ExpFloat64() * float64(t.plan.Hold))
 		}
-		script := standin.Script{Work: 3 * time.Millisecond, Queue: 500 * time.Millisecond, Hold: hold, Unreported: !t.plan.Reports}
+		script := standin.Script{Work: 3 * time.Millisecond, Queue: 500 * time.Millisecond, Hold: hold, Unreported: !t.plan.Reports,
+			ReportEvery: t.plan.ReportEvery}
+		if t.plan.ReportEvery != 0 {
+			script.Size = officeSize
+		}
 		var o *standin.Office
 		var err error
 		for range 5 { // a port that was free may be somebody's by now
@@ -143,6 +149,7 @@
 		relay.From = fmt.Sprintf("127.0.0.%d", 10+i)
 		c.relays = append(c.relays, relay)
 		c.states = append(c.states, "SERVING")
+		c.started = append(c.started, 0)
 	}
 	c.listen = fmt.Sprintf("127.0.0.1:%d", standin.FreePort())
 	c.events = firstEvent
@@ -163,7 +170,7 @@
 	defer t.mu.Unlock()
 	var hosts []string
 	for i, o := range t.offices {
-		hosts = append(hosts, fmt.Sprintf(`{"host":"%s","dial":"%s","block":%d,"health":"%s","share":1}`, o.Name, c.relays[i].Address, i, c.states[i]))
+		hosts = append(hosts, fmt.Sprintf(`{"host":"%s","dial":"%s","block":%d,"health":"%s","share":1,"born_ms":%d}`, o.Name, c.relays[i].Address, i, c.states[i], c.started[i]))
 	}
 	deadline := t.plan.Deadline.Microseconds()
 	text := fmt.Sprintf(`{"name":"%s","listen":"%s","seed":"%016x","limits":{"cores":1,"memory_mb":64,"sockets":384},"journal":"%s",
@@ -257,15 +264,55 @@
 			time.Sleep(trouble.Lasts / 8)
 		}
 	case Drained:
-		t.list(i, stateDraining)
+		t.list(i, stateDraining, 0)
 		time.Sleep(t.untilTold(time.Since(begin)))
 		o.Drained(true)
 		time.Sleep(trouble.Lasts)
-		t.list(i, stateGone)
+		t.list(i, stateGone, 0)
 	case HungAndDrain:
 		o.Hang(false)
 		time.Sleep(trouble.Lasts / 4)
-		t.list(i, stateDraining)
+		t.list(i, stateDraining, 0)
+	case Replaced, ReplacedAtOnce:
+		t.replace(i, trouble)
+	case ReplacedInTurns:
+		for range 3 {
+			trouble.Lasts /= 2
+			t.replace(i, trouble)
+			time.Sleep(time.Second)
+		}
+	}
+}
+
+// replace has an office hang, kills its process and starts another one in its place.
+func (t *trial) replace(i int, trouble Trouble) {
+	o := t.offices[i]
+	o.Hang(false)
+	time.Sleep(trouble.Lasts)
+	if trouble.Fault != ReplacedAtOnce {
+		for _, c := range t.controllers {
+			c.relays[i].Refuse()
+		}
+	}
+	o.Kill()
+	if trouble.Fault != ReplacedAtOnce {
+		time.Sleep(trouble.Gap)
+	}
+	started := time.Now()
+	if err := o.Restart(); err != nil {
+		t.broke("the rig: %v", err)
+		return
+	}
+	if trouble.Fault != ReplacedAtOnce {
+		for _, c := range t.controllers {
+			if err := c.relays[i].Listen(); err != nil {
+				t.broke("the rig: %v", err)
+			}
+		}
+	}
+	if trouble.Told != 0 {
+		time.Sleep(trouble.Told)
+		t.list(i, stateReady, started.UnixMilli())
 	}
 }
 
@@ -287,15 +334,16 @@
 	}
 }
 
-// list changes an office's state on the list.
-func (t *trial) list(i int, state byte) {
-	health := map[byte]string{stateDraining: "DRAINING", stateGone: "DELETED"}[state]
+// list changes an office's state on the list, and its start in Unix milliseconds where it is not 0.
+func (t *trial) list(i int, state byte, started int64) {
+	health := map[byte]string{stateReady: "SERVING", stateDraining: "DRAINING", stateGone: "DELETED"}[state]
 	for _, c := range t.controllers {
 		t.mu.Lock()
 		c.states[i] = health
+		c.started[i] = started
 		c.events++
 		t.mu.Unlock()
-		c.journal.tell(uint32(i+1), c.relays[i].Address, state)
+		c.journal.tell(uint32(i+1), c.relays[i].Address, state, started)
 	}
 }
 
--- a/internal/standin/hang.go
+++ b/internal/standin/hang.go
@@ -50,6 +50,41 @@
 	return nil
 }
 
+// Kill ends the office's process, also one that hangs: its listener, its connections and its calls, of which it tells nobody.
+func (o *Office) Kill() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	_ = o.l.Close()
+	for c := range o.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+	for call := range o.standing {
+		o.book.ended(call, o.Name, time.Now())
+	}
+	clear(o.standing)
+	clear(o.owed)
+	if o.hang != nil {
+		close(o.hang.over)
+		o.hang = nil
+	}
+}
+
+// Restart starts a process in the place of one that was killed. It knows nothing of its calls.
+func (o *Office) Restart() error {
+	l, err := net.Listen("tcp4", o.Address)
+	if err != nil {
+		return fmt.Errorf("stand-in office %s starts anew: %w", o.Name, err)
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.l = l
+	go o.accept(l)
+	return nil
+}
+
 // awake tells whether the office acts on what it has read; false: its process hung at that time, and waits for its end.
 func (o *Office) awake() bool {
 	o.mu.Lock()
--- a/internal/standin/office.go
+++ b/internal/standin/office.go
@@ -3,6 +3,7 @@
 package standin
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -43,6 +44,10 @@
 	Hold func() time.Duration
 	// Unreported: the office tells nobody of its free lines.
 	Unreported bool
+	// Size is how many lines it tells that it has, of which each call that stands takes one; 0: it tells of 100 free ones.
+	Size int
+	// ReportEvery is how often it tells of them; 0: tellEvery.
+	ReportEvery time.Duration
 }
 
 // Bound is what a cold office bears.
@@ -169,13 +174,25 @@
 
 func (o *Office) tell(p *pipe) {
 	for {
-		if o.reporting() && p.send(wire.Message{Type: wire.TypeGroup, Params: []wire.Param{wire.Text(wire.ParamLoad, "free:100")}}) != nil {
+		text, every := o.lineReport()
+		if o.reporting() && p.send(wire.Message{Type: wire.TypeGroup, Params: []wire.Param{wire.Text(wire.ParamLoad, text)}}) != nil {
 			return
 		}
-		time.Sleep(tellEvery)
+		time.Sleep(every)
 	}
 }
 
+// lineReport is what the office tells of its lines, and how often.
+func (o *Office) lineReport() (text string, every time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	every = cmp.Or(o.script.ReportEvery, tellEvery)
+	if o.script.Size == 0 {
+		return "free:100", every
+	}
+	return fmt.Sprintf("free:%d;size:%d", o.script.Size-len(o.standing), o.script.Size), every
+}
+
 func (o *Office) serve(p *pipe) {
 	out := map[uint64]bool{} // set-ups on this connection that are not over
 	var last error
