--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -36,7 +36,7 @@
 
 // firstOfSecondForm is the first seed that draws replaced offices, and how often offices report. Earlier ones draw what they
 // always did: tests and known failures name them.
-const firstOfSecondForm = 1000
+const firstOfSecondForm = 2_000_000
 
 // String names the fault.
 func (f Fault) String() string {
--- a/internal/soak/trial.go
+++ b/internal/soak/trial.go
@@ -64,6 +64,7 @@
 	controllers []*controller
 	result      Result
 	mu          sync.Mutex
+	timeline    string // what the rig did, a line each
 }
 
 // Play plays a plan with a program, in a directory of its own.
@@ -90,6 +91,13 @@
 	return t.result, nil
 }
 
+// note writes what the rig does into the trial's timeline, on the clock of the controllers' logs.
+func (t *trial) note(format string, args ...any) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.timeline += time.Now().UTC().Format("15:04:05.000 ") + fmt.Sprintf(format, args...) + "\n"
+}
+
 func (t *trial) broke(format string, args ...any) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -234,6 +242,8 @@
 	}
 	o := t.offices[i]
 	time.Sleep(time.Until(begin.Add(trouble.At)))
+	t.note("%s: %v", o.Name, trouble.Fault)
+	defer t.note("%s: %v is over, or lasts", o.Name, trouble.Fault)
 	switch trouble.Fault {
 	case Hung:
 		o.Hang(false)
@@ -294,10 +304,12 @@
 			c.relays[i].Refuse()
 		}
 	}
+	t.note("%s: killed", o.Name)
 	o.Kill()
 	if trouble.Fault != ReplacedAtOnce {
 		time.Sleep(trouble.Gap)
 	}
+	t.note("%s: another process listens", o.Name)
 	started := time.Now()
 	if err := o.Restart(); err != nil {
 		t.broke("the rig: %v", err)
@@ -322,6 +334,7 @@
 		t.offices[i].Unseen()
 	}
 	t.offices[i].Unheard(back)
+	t.note("%s: cut towards it %t, from it %t", t.offices[i].Name, to, back)
 	for _, c := range t.controllers {
 		c.relays[i].To.Set(fleettest.Faults{Cut: to})
 		c.relays[i].Back.Set(fleettest.Faults{Cut: back})
@@ -329,6 +342,7 @@
 }
 
 func (t *trial) breakStreams(i int) {
+	t.note("%s: connections are reset", t.offices[i].Name)
 	for _, c := range t.controllers {
 		c.relays[i].Break()
 	}
@@ -362,10 +376,12 @@
 		return
 	}
 	time.Sleep(time.Until(begin.Add(t.plan.Silence.At)))
+	t.note("discovery falls silent")
 	for _, c := range t.controllers {
 		c.journal.silence(true)
 	}
 	time.Sleep(t.plan.Silence.Lasts)
+	t.note("discovery speaks again")
 	for _, c := range t.controllers {
 		c.journal.silence(false)
 	}
@@ -384,6 +400,7 @@
 		return
 	}
 	time.Sleep(takeOver)
+	t.note("%s: SIGTERM", c.name)
 	_ = c.process.Process.Signal(syscall.SIGTERM)
 	select {
 	case err := <-c.ended:
@@ -394,6 +411,7 @@
 		_ = c.process.Process.Kill()
 		<-c.ended
 	}
+	t.note("%s: the process that was told to end has ended", c.name)
 	t.book.Orphan(c.listen)
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -432,6 +450,9 @@
 			t.broke("cut: %d calls at %s, which was well", n, o.Name)
 		}
 	}
+	if err := os.WriteFile(filepath.Join(t.dir, "timeline.log"), []byte(t.timeline), 0o600); err != nil {
+		t.broke("the rig: %v", err)
+	}
 	for _, c := range t.controllers {
 		file := filepath.Join(t.dir, c.name+".log")
 		t.mu.Lock()
