Leave a starting program's runtime its poller until the exec

What was seen: TestChangeOfProgram failed on 'the conclusion did not come'. The conductor m1 halted the change: its successor "ended before it served", with "runtime: epollwait on fd 7 failed with 9", and "fatal error: runtime: netpoll failed", in member.Special.

Cause: the process that becomes the program closed all its descriptors from the first not to be kept on, with them the one on which its own runtime polls. Where another thread polled before the exec, the runtime ended the process. In service the same: a change of program halts by chance, as one that refuses.

Why it works: close_range marks the descriptors to be closed by the exec itself, as the guard's own start does. TestStartOfAProgramClosesWhatIsNotKept holds what the program is left with.

--- a/internal/member/guard.go
+++ b/internal/member/guard.go
@@ -38,7 +38,8 @@
 	case len(args) > 2 && args[0] == startWord:
 		keep, err := strconv.Atoi(args[1])
 		if err == nil {
-			err = unix.CloseRange(uint(keep), math.MaxInt32, 0)
+			// At the exec, not now: the runtime of this process has descriptors of its own, without which it ends.
+			err = unix.CloseRange(uint(keep), math.MaxInt32, unix.CLOSE_RANGE_CLOEXEC)
 		}
 		if err == nil {
 			err = syscall.Exec(args[2], args[2:], os.Environ())
--- a/internal/member/rig_test.go
+++ b/internal/member/rig_test.go
@@ -24,7 +24,13 @@
 // serveBy names the file by which this test program serves as a member, in place of testing.
 const serveBy = "PEWTERWHEEL_TEST_MEMBER_FILE"
 
+// pollsFirst has this test program wait on descriptors, by many goroutines, before it does anything else.
+const pollsFirst = "PEWTERWHEEL_TEST_POLLS_FIRST"
+
 func TestMain(m *testing.M) {
+	if os.Getenv(pollsFirst) != "" {
+		pollDescriptors()
+	}
 	if code, ok := Special(os.Args[1:]); ok {
 		os.Exit(code)
 	}
@@ -39,6 +45,23 @@
 	os.Exit(m.Run())
 }
 
+// pollDescriptors has goroutines wait on pipes, and be woken again and again, so that the runtime's poller is at work.
+func pollDescriptors() {
+	for range 8 {
+		r, w, err := os.Pipe()
+		if err != nil {
+			continue
+		}
+		go func() {
+			for {
+				_, _ = w.Write([]byte{0})
+				_, _ = r.Read(make([]byte, 1))
+			}
+		}()
+	}
+	time.Sleep(5 * time.Millisecond)
+}
+
 // lockedLog takes what a process logs.
 type lockedLog struct {
 	mu sync.Mutex
