--- a/internal/member/fail.go
+++ b/internal/member/fail.go
@@ -10,8 +10,8 @@
 
 func (*together) failParts() []fleet.Module { return nil }
 
-func doctored(c lease.Config) lease.Config { return c }
+func leaseWithFailpoints(c lease.Config) lease.Config { return c }
 
-func doctoredKeeper(c keeper.Config) keeper.Config { return c }
+func keeperWithFailpoints(c keeper.Config) keeper.Config { return c }
 
 func unsafe(part float64) float64 { return part }
--- a/internal/member/fail_on.go
+++ b/internal/member/fail_on.go
@@ -23,8 +23,8 @@
 	return append([]fleet.Module{agent.NewWatcher()}, agent.NewClaimer(t.lessor)...)
 }
 
-// doctored is a lease's configuration as failpoints want it.
-func doctored(c lease.Config) lease.Config {
+// leaseWithFailpoints is a lease's configuration as failpoints want it.
+func leaseWithFailpoints(c lease.Config) lease.Config {
 	if d, err := time.ParseDuration(failpoint.Value("lease-believed")); err == nil {
 		c.Lease = d.Microseconds() // others believe in another one
 	}
@@ -34,8 +34,8 @@
 	return c
 }
 
-// doctoredKeeper is the same for the keepers of numbers.
-func doctoredKeeper(c keeper.Config) keeper.Config {
+// keeperWithFailpoints is the same for the keepers of numbers.
+func keeperWithFailpoints(c keeper.Config) keeper.Config {
 	if failpoint.On("keeper-over") {
 		return c.Overgranting()
 	}
--- a/internal/member/parts.go
+++ b/internal/member/parts.go
@@ -35,7 +35,7 @@
 		s = t.base
 	}
 	f := s.Fleet
-	t.lessor = lease.New(doctored(lease.Config{Self: t.member.Name, Incarnation: life, Seed: life, Roster: f.RosterNumber, Names: f.Roster,
+	t.lessor = lease.New(leaseWithFailpoints(lease.Config{Self: t.member.Name, Incarnation: life, Seed: life, Roster: f.RosterNumber, Names: f.Roster,
 		Lease: f.Lease, Drift: f.Drift, Floor: life / 1000, Renewals: failpoint.Enabled}))
 	figures := aggregate.New(aggregate.Config{Self: t.member.Name, Seed: life, Allow: t.allowFigures})
 	t.stage = stage.New(stage.Config{
@@ -51,7 +51,7 @@
 	if t.table != nil {
 		cfg := t.keepers(life, t.lessor)
 		cfg.Barred = t.stage.Soon
-		k, err := keeper.New(doctoredKeeper(cfg), t.table, t.queue)
+		k, err := keeper.New(keeperWithFailpoints(cfg), t.table, t.queue)
 		if err != nil {
 			t.log.Error("no numbers are kept", "error", err, advice.Attr(err))
 		} else {
