--- a/internal/member/parts.go
+++ b/internal/member/parts.go
@@ -35,7 +35,7 @@
 		s = t.base
 	}
 	f := s.Fleet
-	t.lessor = lease.New(doctored(lease.Config{Self: t.member.Name, Incarnation: life, Seed: life, Roster: f.RosterNumber, Names: f.Roster,
+	t.lessor = lease.New(leaseWithFailpoints(lease.Config{Self: t.member.Name, Incarnation: life, Seed: life, Roster: f.RosterNumber, Names: f.Roster,
 		Lease: f.Lease, Drift: f.Drift, Floor: life / 1000, Renewals: failpoint.Enabled}))
 	figures := aggregate.New(aggregate.Config{Self: t.member.Name, Seed: life, Allow: t.allowFigures})
 	t.stage = stage.New(stage.Config{
@@ -51,7 +51,7 @@
 	if t.table != nil {
 		cfg := t.keepers(life, t.lessor)
 		cfg.Barred = t.stage.Soon
-		k, err := keeper.New(doctoredKeeper(cfg), t.table, t.queue)
+		k, err := keeper.New(keeperWithFailpoints(cfg), t.table, t.queue)
 		if err != nil {
 			t.log.Error("no numbers are kept", "error", err, advice.Attr(err))
 		} else {
@@ -222,8 +222,9 @@
 	if by, err := parseFactor(failpoint.Value("stage")); err == nil {
 		const second = 1e6
 		t := func(s float64) int64 { return int64(s * second * by) }
-		r = stage.Rules{Baseline: t(120), Warm: t(30), Slot: max(t(10), 2*second), Look: max(t(60), 4*second), Most: t(600), Patience: t(60),
-			Lost: t(20), Ask: max(t(30), 15*second), Repeat: max(t(1), second/5)}
+		// A process takes over in its own time, however short the rest is made.
+		r = stage.Rules{Baseline: t(120), Warm: t(30), Slot: max(t(10), 2*second), Look: max(t(60), 4*second), Most: t(600),
+			Patience: max(t(60), 15*second), Lost: t(20), Ask: max(t(30), 15*second), Repeat: max(t(1), second/5)}
 	}
 	if by, err := parseFactor(failpoint.Value("stage-margins")); err == nil {
 		m := &r.Margins
