Remember a report of fewer lines than calls in question until their time comes

Cause: the first report of the new process spoke against the calls in question, and the next one, a second later, no longer did: new calls of all senders took as many lines. What it had shown was forgotten before the 7 s were over.

TestFewerLinesInUseAreRemembered failed.

Why it works: a report counts once, 0.5 s later, more calls of before it still stand than it had lines in use: what a living process owed has been told by then (TestFewerLinesInUseUntilReleasesCome). A report in between that agrees takes it back. Own calls of after the loss are counted, too, so that they hide nothing.

--- a/internal/liveness/incarnation.go
+++ b/internal/liveness/incarnation.go
@@ -8,6 +8,8 @@
 	settleAfter = 500_000
 	// lateDelivery is how long after the loss of one connection another may still bring what was written before it.
 	lateDelivery = 200_000
+	// reportDelay is how long a report of lines may be on its way behind the answers to calls that it does not count.
+	reportDelay = 200_000
 	// listLag is how long the list may take to tell of a new start.
 	listLag = 7_000_000
 	// leastEnds is how many ends must be expected of a group of calls for none to say that their process is gone: by
@@ -47,7 +49,15 @@
 	first   int64 // the first message on the main connection after it; 0: none yet
 	refused bool  // a connect was refused in it
 	blind   bool  // the list could not be heard while it had to tell of a new start
-	fewer   int64 // since when reports after it disagree with the calls in question; 0: they agree
+	fewer   fewerLines
+}
+
+// fewerLines is a report after a gap of fewer lines in use than calls stood there from before a time.
+type fewerLines struct {
+	at        int64 // when it came; 0: none has
+	lines     int
+	before    int64
+	confirmed bool // as many calls still stood once releases that were owed would have come
 }
 
 // incarnations is what is known of the processes that an office has been, one after the other.
@@ -140,13 +150,32 @@
 		o.disagrees = lines < own
 	}
 	for i := range o.gaps {
-		g := &o.gaps[i]
-		switch disagrees := g.first != 0 && g.trusted && lines < standing(0, g.lost); {
-		case !disagrees:
-			g.fewer = 0
-		case g.fewer == 0:
-			g.fewer = now
+		o.gaps[i].linesInUse(now, lines, standing)
+	}
+}
+
+// linesInUse compares a report with all calls that stand from before the report can have left: those in question, and those
+// that stood since. What agrees soon after takes back what did not; later, new calls may hide that old ones are gone.
+func (g *gap) linesInUse(now int64, lines int, standing Standing) {
+	before := max(g.lost, now-reportDelay)
+	switch {
+	case g.first == 0 || !g.trusted || g.fewer.confirmed:
+	case lines < standing(0, before):
+		if g.fewer.at == 0 {
+			g.fewer = fewerLines{at: now, lines: lines, before: before}
 		}
+	case now-g.fewer.at < settleAfter:
+		g.fewer = fewerLines{}
+	}
+}
+
+// confirm judges a report of fewer lines once releases that were owed would have come.
+func (f *fewerLines) confirm(now int64, standing Standing) {
+	if f.at == 0 || f.confirmed || now-f.at < settleAfter {
+		return
+	}
+	if f.confirmed = f.lines < standing(0, f.before); !f.confirmed {
+		f.at = 0
 	}
 }
 
@@ -169,6 +198,7 @@
 	for i := len(o.gaps) - 1; i >= 0; i-- {
 		g := &o.gaps[i]
 		g.watchList(now, list)
+		g.fewer.confirm(now, standing)
 		evidence := g.evidence(now, standing)
 		if departing && evidence == NoEvidence && g.refused && g.first != 0 {
 			evidence = RefusedBlind
@@ -201,7 +231,7 @@
 	switch {
 	case g.first == 0:
 		return NoEvidence // silence and failed connects are judged
-	case g.fewer != 0 && now-g.fewer >= settleAfter:
+	case g.fewer.confirmed:
 		return FewerLines
 	case g.refused && g.blind:
 		return RefusedBlind
--- a/internal/liveness/incarnation_test.go
+++ b/internal/liveness/incarnation_test.go
@@ -141,6 +141,47 @@
 	}
 }
 
+// New calls of all senders soon take as many lines as the old ones did, before the time of those has come.
+func TestFewerLinesInUseAreRemembered(t *testing.T) {
+	for _, second2 := range []int64{second, 5 * second} {
+		var o Office
+		standing := standingSince(8*second, 8*second+1, 8*second+2)
+		o.Heard(message(10 * second))
+		o.ConnectionLost(10*second, Lost{Opened: second})
+		over := false
+		for now := int64(10*second + second/10); now <= 17*second; now += second / 10 {
+			o.Heard(message(now))
+			if now == 10*second+second/10 {
+				o.LinesInUse(now, 0, standing)
+			} else if now >= 10*second+second2 {
+				o.LinesInUse(now, 9, standing)
+			}
+			if _, told := o.Restarted(now, List{}, standing, false); told && now == 17*second {
+				over = true
+			}
+		}
+		if !over {
+			t.Errorf("second report after %d us: the calls of before are not over 7 s after the last word", second2)
+		}
+	}
+}
+
+// An office whose process lives reports first on a new connection, and releases there at once what ended meanwhile.
+func TestFewerLinesInUseUntilReleasesCome(t *testing.T) {
+	var o Office
+	o.Heard(message(10 * second))
+	o.ConnectionLost(10*second, Lost{Opened: second})
+	o.Heard(message(14 * second))
+	o.LinesInUse(14*second, 1, standingSince(8*second, 8*second+1, 8*second+2))
+	left := standingSince(8 * second)
+	for now := int64(14 * second); now <= 20*second; now += second / 10 {
+		o.Heard(message(now))
+		if restart, over := o.Restarted(now, List{}, left, false); over {
+			t.Fatalf("%+v at %d us, though as many calls stand as lines are in use", restart, now)
+		}
+	}
+}
+
 // A process that is replaced by a third one before its second report is told from it by the first report of that.
 func TestFewerLinesInUseTwice(t *testing.T) {
 	var o Office
