Hold a process of an office against its own calls alone when it reports its lines

What callers would see: an office's process takes the place of a killed one, and its connection is reset before the calls of the killed one are released: calls at the new process, which lives and reports them, are cut.

Cause: after each loss the report was held against all calls of before, also those of the process before the last.

Evidence: found by reading; TestFewerLinesInUseOfTheProcessBefore failed: calls of before 12 s over, though their process lives and reports both.

Why it works: after a loss the calls since the loss before it count as evidence; where those of earlier processes are gone, the earlier loss says so.

--- a/internal/liveness/incarnation.go
+++ b/internal/liveness/incarnation.go
@@ -56,8 +56,9 @@
 type fewerLines struct {
 	at        int64 // when it came; 0: none has
 	lines     int
-	before    int64
-	confirmed bool // as many calls still stood once releases that were owed would have come
+	from      int64 // the calls that it is held against stood from here on ...
+	before    int64 // ... and from before this
+	confirmed bool  // as many calls still stood once releases that were owed would have come
 }
 
 // incarnations is what is known of the processes that an office has been, one after the other.
@@ -149,20 +150,23 @@
 	if own := standing(since, now+1); own > 0 {
 		o.disagrees = lines < own
 	}
+	from := int64(0)
 	for i := range o.gaps {
-		o.gaps[i].linesInUse(now, lines, standing)
+		g := &o.gaps[i]
+		g.linesInUse(now, lines, from, standing)
+		from = g.lost // calls of before it are no evidence against the process of after it
 	}
 }
 
 // linesInUse compares a report with all calls that stand from before the report can have left: those in question, and those
 // that stood since. What agrees soon after takes back what did not; later, new calls may hide that old ones are gone.
-func (g *gap) linesInUse(now int64, lines int, standing Standing) {
+func (g *gap) linesInUse(now int64, lines int, from int64, standing Standing) {
 	before := max(g.lost, now-reportDelay)
 	switch {
 	case g.first == 0 || !g.trusted || g.fewer.confirmed:
-	case lines < standing(0, before):
+	case lines < standing(from, before):
 		if g.fewer.at == 0 {
-			g.fewer = fewerLines{at: now, lines: lines, before: before}
+			g.fewer = fewerLines{at: now, lines: lines, from: from, before: before}
 		}
 	case now-g.fewer.at < settleAfter:
 		g.fewer = fewerLines{}
@@ -174,7 +178,7 @@
 	if f.at == 0 || f.confirmed || now-f.at < settleAfter {
 		return
 	}
-	if f.confirmed = f.lines < standing(0, f.before); !f.confirmed {
+	if f.confirmed = f.lines < standing(f.from, f.before); !f.confirmed {
 		f.at = 0
 	}
 }
--- a/internal/liveness/incarnation_test.go
+++ b/internal/liveness/incarnation_test.go
@@ -261,3 +261,37 @@
 		t.Errorf("%d gaps are kept, want %d at most", len(o.gaps), maxGaps)
 	}
 }
+
+// A process that took the place of a killed one loses its connection before the calls of that one are released: its own calls
+// were cut with them, for the lines that those do not take.
+func TestFewerLinesInUseOfTheProcessBefore(t *testing.T) {
+	var o Office
+	killed, reset := int64(10*second), int64(12*second)
+	of := func(now int64) Standing {
+		first := standingSince(8*second, 8*second+1, 8*second+2)
+		own := standingSince(11*second, 11*second+1)
+		return func(from, to int64) int {
+			n := own(from, min(to, now))
+			if now < 17*second+second/10 {
+				n += first(from, to)
+			}
+			return n
+		}
+	}
+	o.Heard(Message{At: 10 * second, OfCall: true, Main: true})
+	o.ConnectionLost(killed, Lost{Opened: second})
+	o.Heard(message(killed + second/10))
+	o.LinesInUse(killed+second/10, 0, of(killed+second/10))
+	for now := killed + second/10; now < 30*second; now += second / 10 {
+		if now == reset {
+			o.ConnectionLost(reset, Lost{Opened: killed + second/10})
+		}
+		o.Heard(message(now + 1))
+		if now > 11*second {
+			o.LinesInUse(now+1, 2, of(now))
+		}
+		if restart, over := o.Restarted(now+2, List{}, of(now), false); over && restart.Before != killed {
+			t.Fatalf("%+v at %d us, though the process of these calls lives and reports both", restart, now)
+		}
+	}
+}
