--- a/internal/fleettest/planted_test.go
+++ b/internal/fleettest/planted_test.go
@@ -53,6 +53,7 @@
 			f.holder("x")
 		}, "fence: "},
 		"suspicion taken for death": {"gone-is-left", "", func(f *Fleet) {
+			f.Until("all see all", func() bool { return f.History.Count("fleet", "sees") >= f.Members*f.Members })
 			f.Process[1].Kill()
 			f.Until("it is unseen", func() bool { return f.History.Count("fleet", "unseen") > 0 })
 		}, "lives: "},
