Open a test's caller only when it has something to ask

Trace (log and clock of the caller's connection, four failures): it was ended 2.01 s after the process served, as one that has asked for nothing within 2 s; the test opened it, waited for two reports a second apart, and asked then. What it wants of the offices is as it was.

--- a/internal/service/broken_test.go
+++ b/internal/service/broken_test.go
@@ -506,7 +506,7 @@
 	const usual = time.Second
 	noisy, steady := play(t, port(t)), play(t, port(t))
 	b := newBench(t, limits{memory: 48, sockets: 256}, steady, noisy)
-	n, s, caller := noisy.next(), steady.next(), b.caller()
+	n, s := noisy.next(), steady.next()
 	state := wire.Message{Type: wire.TypeGroup, Params: []wire.Param{wire.Text(wire.ParamLoad, "free:100;size:100")}}
 	ticks := make(chan bool, 5)
 	go func() {
@@ -518,6 +518,7 @@
 	}()
 	<-ticks
 	<-ticks
+	caller := b.caller() // not before: who asks for nothing within 2 s is turned out
 	// A call stands at the steady one, so that its silence would matter.
 	at := n
 	for call := uint64(1); at != s; call++ {
