Review cases 2 and 3: show them with bad clients in place of a restart

Change: bad clients that open 400 silent connections have the controller end good clients' connections while their calls stand. The releases of these calls then go to another client (case 2) or to nobody (case 3), in one process that lives throughout. Ports of the stand-ins are taken below those of outgoing connections.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -5,7 +5,7 @@
 cd "$folder/../.." || exit 2
 [ -x review/bin/stand ] && [ -x bin/pewterwheel ] || { echo "build first: the deploy file's build, then review/build.sh"; exit 2; }
 set -m
-timeout -k 2 110 review/bin/stand clients "$folder/record.txt" &
+timeout -k 2 110 review/bin/stand two "$folder/record.txt" &
 group=$!
 trap 'kill -KILL -- -$group 2>/dev/null' EXIT
 wait $group
--- a/review/stand/controller.go
+++ b/review/stand/controller.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -30,14 +31,17 @@
 	done            chan struct{}
 }
 
-// freeAddress is a loopback address on which nobody listens.
+// freeAddress is a loopback address on which nobody listens, below the ports that the system gives to outgoing connections.
 func freeAddress() string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		fail(2, "no free port: %v", err)
+	for range 1000 {
+		l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", 20000+rand.IntN(10000)))
+		if err == nil {
+			defer l.Close()
+			return l.Addr().String()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	fail(2, "no free port")
+	return ""
 }
 
 // runCommand reads `run` from the deploy file.
@@ -125,6 +129,11 @@
 		close(done)
 	}(c.cmd, c.done)
 	for began := time.Now(); !c.ready(); time.Sleep(50 * time.Millisecond) {
+		select {
+		case <-c.done:
+			fail(2, "the controller ended as it started")
+		default:
+		}
 		if time.Since(began) > 30*time.Second {
 			c.kill()
 			fail(2, "the controller is not ready within 30 s")
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -7,10 +7,13 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"os"
 	"time"
 )
 
+var sockets = 1024
+
 var cleanups []func()
 
 // fail ends the program: 0 the rule held, 1 it was broken, 2 the case could not run.
@@ -25,7 +28,7 @@
 
 func main() {
 	if len(os.Args) != 3 {
-		fail(2, "stand burst|clients|quiet RECORD")
+		fail(2, "stand burst|two|crowd|clients|quiet|late RECORD")
 	}
 	f, err := os.Create(os.Args[2])
 	if err != nil {
@@ -46,6 +49,12 @@
 		burst(rec, dir, trouble)
 	case "clients":
 		clients(rec, dir, trouble)
+	case "crowd":
+		crowd(rec, dir, trouble)
+	case "two":
+		two(rec, dir, trouble)
+	case "late":
+		late(rec, dir, trouble)
 	case "quiet":
 		quiet(rec, dir, trouble)
 	}
@@ -54,11 +63,16 @@
 
 // world starts a journal service and offices, and a controller that knows them.
 func world(rec *recorder, dir string, offices int) (*controller, []*office) {
+	_, c, list := worldWith(rec, dir, offices)
+	return c, list
+}
+
+func worldWith(rec *recorder, dir string, offices int) (*journal, *controller, []*office) {
 	j, err := newJournal(rec)
 	if err != nil {
 		fail(2, "%v", err)
 	}
-	c := &controller{rec: rec, dir: dir, listen: freeAddress(), control: freeAddress(), journal: j.l.Addr().String(), sockets: 1024, memory: 192}
+	c := &controller{rec: rec, dir: dir, listen: freeAddress(), control: freeAddress(), journal: j.l.Addr().String(), sockets: sockets, memory: 192}
 	var list []*office
 	for i := range offices {
 		o, err := newOffice(fmt.Sprintf("office%d", i), "127.0.0.1:0", rec)
@@ -71,7 +85,7 @@
 	}
 	c.start()
 	cleanups = append(cleanups, c.kill)
-	return c, list
+	return j, c, list
 }
 
 // traffic makes calls at a rate for a time.
@@ -200,3 +214,95 @@
 	rec.say("held: what stood and is over was released towards its client")
 	fail(0, "rule held")
 }
+
+// late: an office's process dies and is started anew while the list is late, and other controllers use it at once.
+func late(rec *recorder, dir string, trouble bool) {
+	j, c, offices := worldWith(rec, dir, 3)
+	for _, o := range offices {
+		o.hold = holdings
+	}
+	o := offices[0]
+	began := time.Now()
+	o.others = func() int { return min(180, 180+0*int(time.Since(began).Seconds())) }
+	cl := newClient("client", "127.0.0.1", rec, c)
+	go cl.front()
+	go cl.run()
+	cleanups = append(cleanups, cl.stop)
+	go traffic(cl, 0.7, 45*time.Second)
+	time.Sleep(12 * time.Second)
+	if trouble {
+		o.die()
+		time.Sleep(800 * time.Millisecond)
+		born := time.Now()
+		o.others = func() int { return int(8 * time.Since(born).Seconds()) }
+		if err := o.again(); err != nil {
+			fail(2, "%v", err)
+		}
+		time.Sleep(9500 * time.Millisecond)
+		j.add(entry{id: c.offices[0].id, address: c.offices[0].address, born: born.UnixMilli()})
+	}
+	time.Sleep(25 * time.Second)
+	ends(rec, offices, cl)
+}
+
+// crowd: bad clients open connections by hundreds and say nothing, while a quiet client's calls stand.
+func crowd(rec *recorder, dir string, trouble bool) {
+	sockets = 256
+	c, offices := world(rec, dir, 3)
+	for _, o := range offices {
+		o.hold = holdings
+	}
+	cl := newClient("client", "127.0.0.1", rec, c)
+	go cl.front()
+	go cl.run()
+	cleanups = append(cleanups, cl.stop)
+	traffic(cl, 2, 2500*time.Millisecond)
+	time.Sleep(time.Second)
+	if trouble {
+		silent(rec, c, 400)
+	}
+	time.Sleep(35 * time.Second)
+	traffic(cl, 2, 2*time.Second) // and asks again later
+	time.Sleep(5 * time.Second)
+	ends(rec, offices, cl)
+}
+
+// silent opens connections that say nothing and stay until they are ended.
+func silent(rec *recorder, c *controller, n int) {
+	rec.note("bad clients", "open connections and say nothing", 0, fmt.Sprint(n))
+	for range n {
+		go func() {
+			conn, err := net.DialTimeout("tcp4", c.listen, time.Second)
+			if err != nil {
+				return
+			}
+			var b [1]byte
+			_, _ = conn.Read(b[:])
+			_ = conn.Close()
+		}()
+	}
+}
+
+// two: as crowd, with two clients that go on asking.
+func two(rec *recorder, dir string, trouble bool) {
+	sockets = 256
+	c, offices := world(rec, dir, 3)
+	for _, o := range offices {
+		o.hold = holdings
+	}
+	list := []*client{newClient("tills", "127.0.0.2", rec, c), newClient("kiosks", "127.0.0.3", rec, c)}
+	for _, cl := range list {
+		go cl.front()
+		go cl.run()
+		cleanups = append(cleanups, cl.stop)
+		go traffic(cl, 3, 30*time.Second)
+	}
+	for range 3 {
+		time.Sleep(6 * time.Second)
+		if trouble {
+			silent(rec, c, 400)
+		}
+	}
+	time.Sleep(27 * time.Second)
+	ends(rec, offices, list...)
+}
--- a/review/stand/office.go
+++ b/review/stand/office.go
@@ -17,11 +17,13 @@
 	rec    *recorder
 	work   time.Duration        // from reading a set-up to its answer
 	hold   func() time.Duration // after which the office ends a call; nil: callers end their calls
+	line   time.Duration        // work of a set-up for its processor; 0: it has many
 	size   int                  // lines
 	told   time.Duration        // interval of the unasked states of its group
 	others func() int           // lines in use by calls of other session controllers; nil: none
 
 	mu       sync.Mutex
+	free     time.Time // when its processor has worked off what waits
 	l        net.Listener
 	conns    map[*link]bool
 	newest   *link
@@ -106,9 +108,25 @@
 		switch m.Type {
 		case wire.TypeSetUp:
 			call := m.Call
+			work := o.work
+			if o.line > 0 { // its processor has one line, and turns set-ups away once its wait passes 1.9 s
+				o.mu.Lock()
+				now := time.Now()
+				wait := max(0, o.free.Sub(now))
+				if wait > 1900*time.Millisecond {
+					o.mu.Unlock()
+					full := wire.ReleaseOf(call, wire.CauseFull)
+					full.Params = append(full.Params, wire.Text(wire.ParamNote, wire.NoteOverload))
+					_ = k.send(full)
+					continue
+				}
+				work = wait + o.line
+				o.free = now.Add(work)
+				o.mu.Unlock()
+			}
 			o.rec.note(o.name, "set-up", call, "")
 			mu.Lock()
-			out[call] = time.AfterFunc(o.work, func() {
+			out[call] = time.AfterFunc(work, func() {
 				mu.Lock()
 				if out[call] == nil {
 					mu.Unlock()
@@ -170,3 +188,33 @@
 		_ = k.send(wire.ReleaseOf(call, wire.CauseNormal))
 	}
 }
+
+// die ends the office's process: its connections are reset and its calls cut.
+func (o *office) die() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	_ = o.l.Close()
+	for k := range o.conns {
+		_ = k.conn.(*net.TCPConn).SetLinger(0)
+		_ = k.conn.Close()
+	}
+	o.rec.note(o.name, "died", 0, fmt.Sprint(len(o.standing), " calls cut"))
+	for call := range o.standing {
+		o.rec.note(o.name, "cut", call, "")
+		o.ended[call] = time.Now()
+	}
+	clear(o.standing)
+	clear(o.owed)
+}
+
+// again starts a new process of the office at the same address, which knows nothing of earlier calls.
+func (o *office) again() (err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.l, err = net.Listen("tcp4", o.l.Addr().String()); err != nil {
+		return err
+	}
+	o.rec.note(o.name, "started anew", 0, "")
+	go o.serve()
+	return nil
+}
