--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -53,6 +53,8 @@
 		crowd(rec, dir, trouble)
 	case "two":
 		two(rec, dir, trouble)
+	case "leave":
+		leave(rec, dir, trouble)
 	case "late":
 		late(rec, dir, trouble)
 	case "quiet":
@@ -306,3 +308,24 @@
 	time.Sleep(27 * time.Second)
 	ends(rec, offices, list...)
 }
+
+// leave: an office hangs through the whole of a shutdown. It tells its free lines when they change.
+func leave(rec *recorder, dir string, trouble bool) {
+	c, offices := world(rec, dir, 2)
+	for _, o := range offices {
+		o.hold = holdings
+	}
+	cl := newClient("client", "127.0.0.1", rec, c)
+	go cl.front()
+	go cl.run()
+	cleanups = append(cleanups, cl.stop)
+	go traffic(cl, 5, 30*time.Second)
+	time.Sleep(10 * time.Second)
+	if trouble {
+		offices[0].hang()
+		time.Sleep(200 * time.Millisecond)
+		c.restart(300 * time.Millisecond)
+	}
+	time.Sleep(32 * time.Second)
+	ends(rec, offices, cl)
+}
--- a/review/stand/office.go
+++ b/review/stand/office.go
@@ -27,6 +27,7 @@
 	l        net.Listener
 	conns    map[*link]bool
 	newest   *link
+	hung     bool
 	standing map[uint64]*link     // calls that stand, with the connection of their set-up
 	owed     map[uint64]bool      // releases that were not heard
 	ended    map[uint64]time.Time // calls that it ended
@@ -51,6 +52,9 @@
 			return
 		}
 		k := &link{conn: c}
+		if o.hangs() { // the system accepts for a process that stands still
+			continue
+		}
 		_ = k.send(o.state()) // first of all on each new connection
 		o.mu.Lock()
 		o.conns[k], o.newest = true, k
@@ -79,7 +83,7 @@
 func (o *office) tell(k *link) {
 	for {
 		time.Sleep(o.told)
-		if k.send(o.state()) != nil {
+		if !o.hangs() && k.send(o.state()) != nil {
 			return
 		}
 	}
@@ -105,6 +109,9 @@
 		if err != nil {
 			return
 		}
+		if o.hangs() {
+			select {}
+		}
 		switch m.Type {
 		case wire.TypeSetUp:
 			call := m.Call
@@ -128,7 +135,7 @@
 			mu.Lock()
 			out[call] = time.AfterFunc(work, func() {
 				mu.Lock()
-				if out[call] == nil {
+				if out[call] == nil || o.hangs() {
 					mu.Unlock()
 					return
 				}
@@ -184,7 +191,7 @@
 		k = o.newest
 	}
 	o.rec.note(o.name, "release", call, "")
-	if k != nil {
+	if k != nil && !o.hung {
 		_ = k.send(wire.ReleaseOf(call, wire.CauseNormal))
 	}
 }
@@ -218,3 +225,17 @@
 	go o.serve()
 	return nil
 }
+
+// hang has the office's process stand still: it reads nothing and says nothing. Calls end all the same.
+func (o *office) hang() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.hung = true
+	o.rec.note(o.name, "hangs", 0, fmt.Sprint(len(o.standing), " calls stand"))
+}
+
+func (o *office) hangs() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.hung
+}
