--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"strconv"
 	"time"
 )
 
@@ -28,7 +29,7 @@
 
 func main() {
 	if len(os.Args) != 3 {
-		fail(2, "stand burst|two|crowd|clients|quiet|late RECORD")
+		fail(2, "stand burst|two|crowd|clients|quiet|late|leave|parts RECORD")
 	}
 	f, err := os.Create(os.Args[2])
 	if err != nil {
@@ -53,6 +54,8 @@
 		crowd(rec, dir, trouble)
 	case "two":
 		two(rec, dir, trouble)
+	case "parts":
+		parts(rec, dir, trouble)
 	case "leave":
 		leave(rec, dir, trouble)
 	case "late":
@@ -290,22 +293,22 @@
 	sockets = 256
 	c, offices := world(rec, dir, 3)
 	for _, o := range offices {
-		o.hold = holdings
+		o.hold, o.work = holdings, 30*time.Millisecond
 	}
 	list := []*client{newClient("tills", "127.0.0.2", rec, c), newClient("kiosks", "127.0.0.3", rec, c)}
 	for _, cl := range list {
 		go cl.front()
 		go cl.run()
 		cleanups = append(cleanups, cl.stop)
-		go traffic(cl, 3, 30*time.Second)
+		go traffic(cl, 3, 32*time.Second)
 	}
-	for range 3 {
-		time.Sleep(6 * time.Second)
+	for range 5 {
+		time.Sleep(5 * time.Second)
 		if trouble {
-			silent(rec, c, 400)
+			silent(rec, c, 500)
 		}
 	}
-	time.Sleep(27 * time.Second)
+	time.Sleep(20 * time.Second)
 	ends(rec, offices, list...)
 }
 
@@ -329,3 +332,27 @@
 	time.Sleep(32 * time.Second)
 	ends(rec, offices, cl)
 }
+
+// parts: an office's processor hangs for good while it goes on telling its free lines; RATE is the calls a second.
+func parts(rec *recorder, dir string, trouble bool) {
+	rate, err := strconv.ParseFloat(os.Getenv("RATE"), 64)
+	if err != nil {
+		rate = 5
+	}
+	c, offices := world(rec, dir, 2)
+	for _, o := range offices {
+		o.hold = holdings
+	}
+	offices[0].reports = true
+	cl := newClient("client", "127.0.0.1", rec, c)
+	go cl.front()
+	go cl.run()
+	cleanups = append(cleanups, cl.stop)
+	go traffic(cl, rate, 30*time.Second)
+	time.Sleep(12 * time.Second)
+	if trouble {
+		offices[0].hang()
+	}
+	time.Sleep(32 * time.Second)
+	ends(rec, offices, cl)
+}
--- a/review/stand/office.go
+++ b/review/stand/office.go
@@ -13,14 +13,15 @@
 
 // office is a call server as the protocol page describes one.
 type office struct {
-	name   string
-	rec    *recorder
-	work   time.Duration        // from reading a set-up to its answer
-	hold   func() time.Duration // after which the office ends a call; nil: callers end their calls
-	line   time.Duration        // work of a set-up for its processor; 0: it has many
-	size   int                  // lines
-	told   time.Duration        // interval of the unasked states of its group
-	others func() int           // lines in use by calls of other session controllers; nil: none
+	name    string
+	rec     *recorder
+	work    time.Duration        // from reading a set-up to its answer
+	hold    func() time.Duration // after which the office ends a call; nil: callers end their calls
+	line    time.Duration        // work of a set-up for its processor; 0: it has many
+	size    int                  // lines
+	told    time.Duration        // interval of the unasked states of its group
+	reports bool                 // it goes on telling its free lines while it hangs
+	others  func() int           // lines in use by calls of other session controllers; nil: none
 
 	mu       sync.Mutex
 	free     time.Time // when its processor has worked off what waits
@@ -52,7 +53,7 @@
 			return
 		}
 		k := &link{conn: c}
-		if o.hangs() { // the system accepts for a process that stands still
+		if o.hangs() && !o.reports { // the system accepts for a process that stands still
 			continue
 		}
 		_ = k.send(o.state()) // first of all on each new connection
@@ -83,7 +84,7 @@
 func (o *office) tell(k *link) {
 	for {
 		time.Sleep(o.told)
-		if !o.hangs() && k.send(o.state()) != nil {
+		if (!o.hangs() || o.reports) && k.send(o.state()) != nil {
 			return
 		}
 	}
