Review: a case that judged nothing, or lost its controller, could not run

Need: with the controller killed by hand in mid-run each case exited with 1; interrupted runs left their temporary folders; a run in which no call was judged would have counted as held.

Change: these exit with 2, and an interrupted run ends its processes and removes its folder.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -8,6 +8,7 @@
 timeout -k 2 110 review/bin/stand crowd "$folder/record.txt" &
 group=$!
 trap 'kill -KILL -- -$group 2>/dev/null' EXIT
+trap 'kill -TERM -- -$group 2>/dev/null; wait $group; exit 2' TERM INT
 wait $group
 code=$?
 case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
--- a/review/stand/controller.go
+++ b/review/stand/controller.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -29,6 +30,7 @@
 	cmd             *exec.Cmd
 	starts          int
 	done            chan struct{}
+	ending          atomic.Bool // it was told to end
 }
 
 // freeAddress is a loopback address on which nobody listens, below the ports that the system gives to outgoing connections.
@@ -122,11 +124,15 @@
 	}
 	c.rec.note("controller", "started", 0, fmt.Sprint("pid ", c.cmd.Process.Pid))
 	c.done = make(chan struct{})
+	c.ending.Store(false)
 	go func(cmd *exec.Cmd, done chan struct{}) {
 		err := cmd.Wait()
 		c.rec.note("controller", "ended", 0, fmt.Sprint("pid ", cmd.Process.Pid, " ", err))
 		log.Close()
 		close(done)
+		if !c.ending.Load() {
+			fail(2, "the controller ended unasked: nothing is judged")
+		}
 	}(c.cmd, c.done)
 	for began := time.Now(); !c.ready(); time.Sleep(50 * time.Millisecond) {
 		select {
@@ -157,6 +163,7 @@
 func (c *controller) ready() bool { return strings.HasPrefix(c.ask("READY"), "200") }
 
 func (c *controller) signal(s syscall.Signal) {
+	c.ending.Store(true)
 	c.rec.note("operator", "signal", 0, s.String())
 	_ = c.cmd.Process.Signal(s)
 }
@@ -166,6 +173,7 @@
 	if c.cmd == nil {
 		return
 	}
+	c.ending.Store(true)
 	_ = c.cmd.Process.Kill()
 	<-c.done
 }
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -9,16 +9,23 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"os/signal"
 	"strconv"
+	"sync"
+	"syscall"
 	"time"
 )
 
 var sockets = 1024
 
-var cleanups []func()
+var (
+	cleanups []func()
+	failing  sync.Mutex // held until the program has ended
+)
 
 // fail ends the program: 0 the rule held, 1 it was broken, 2 the case could not run.
 func fail(code int, format string, args ...any) {
+	failing.Lock()
 	for i := len(cleanups) - 1; i >= 0; i-- {
 		cleanups[i]()
 	}
@@ -43,6 +50,12 @@
 	if os.Getenv("KEEP") == "" {
 		cleanups = append(cleanups, func() { os.RemoveAll(dir) })
 	}
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-interrupted
+		fail(2, "interrupted: nothing is judged")
+	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.say("case %s, trouble %v", os.Args[1], trouble)
 	switch os.Args[1] {
@@ -134,6 +147,9 @@
 		rec.say("BROKEN: %d set-ups were taken and have no final answer half a second after their time", len(bad))
 		fail(1, "rule broken")
 	}
+	if cl.sums()["answer"] == 0 {
+		fail(2, "no set-up was answered: nothing is judged")
+	}
 	rec.say("held: every set-up that was taken has its final answer")
 	fail(0, "rule held")
 }
@@ -187,7 +203,7 @@
 // being 50 ms longer.
 func ends(rec *recorder, offices []*office, list ...*client) {
 	const limit = 8050 * time.Millisecond
-	late, never, foreign := 0, 0, 0
+	late, never, foreign, judged := 0, 0, 0, 0
 	for _, cl := range list {
 		rec.say("%s: %v, %d messages about calls that are not its own", cl.name, cl.sums(), cl.foreign)
 		foreign += cl.foreign
@@ -200,6 +216,7 @@
 				if !s.stands || !ended || time.Since(at) < limit {
 					continue
 				}
+				judged++
 				switch {
 				case s.over.IsZero():
 					never++
@@ -216,6 +233,9 @@
 		rec.say("BROKEN: of the calls that stood and are over, %d were never released towards their client, and %d over 8.05 s after their end", never, late)
 		fail(1, "rule broken")
 	}
+	if judged == 0 {
+		fail(2, "no call stood and ended: nothing is judged")
+	}
 	rec.say("held: what stood and is over was released towards its client")
 	fail(0, "rule held")
 }
@@ -279,6 +299,7 @@
 		go func() {
 			conn, err := net.DialTimeout("tcp4", c.listen, time.Second)
 			if err != nil {
+				rec.note("bad clients", "connection did not come up", 0, err.Error())
 				return
 			}
 			var b [1]byte
