Send ends of calls whose connection has ended to every client that asked

Cause: once the connection of a call's set-up had ended, releaseToCaller chose one connection, the newest on which a call had stood, whoever's it was. It told no other unless that one closed within 6 s without an acknowledgement, and an acknowledgement by anybody ended the matter. No field names a call's client and no connection owns a call, so no choice of one connection can be right. Calls of a process before were told in the same way, and so were ends that a closed connection may not have read.

Change: internal/delivery, without I/O, decides whom to tell, how often and until when. An end goes on the connection of the set-up while that is open; otherwise it is retained for 20 s and sent once on every connection that has brought a request, also on those that come later. A position in one log replaces the maps of each connection. Bounded: 4096 ends, 2048 a write, 400,000 copies a second. An acknowledgement ends nothing for others.

--- a/internal/session/arrivals.go
+++ b/internal/session/arrivals.go
@@ -157,7 +157,7 @@
 	delete(s.connOwners, conn)
 	switch role := role.(type) {
 	case *state.Caller:
-		s.callerDisconnected(role)
+		s.callerDisconnected(role, err)
 	case *state.OfficeConn:
 		s.officeDisconnected(role, err)
 	case *journal:
--- /dev/null
+++ b/internal/session/caller_releases.go
@@ -0,0 +1,76 @@
+package session
+
+import (
+	"pewterwheel/internal/delivery"
+	"pewterwheel/internal/state"
+	"pewterwheel/internal/wire"
+)
+
+// releaseToCaller sends a call's release to its client: on the connection of the set-up while that is open, otherwise on
+// each connection that may be the client's, as s.releases decides. from is nil for a call of a previous process.
+func (s *Session) releaseToCaller(release delivery.Release, from *state.Caller) {
+	s.Counters[state.ReleasesOut]++
+	var setUpOn *delivery.Connection
+	if from != nil {
+		setUpOn = &from.Delivery
+	}
+	if s.releases.Release(release, setUpOn, s.now) {
+		s.sendRelease(from, release.Call, release.Cause, 0)
+	}
+}
+
+// sendRetainedToAll sends retained releases on all connections for which some wait.
+func (s *Session) sendRetainedToAll() {
+	if !s.releases.StartRound(s.now) {
+		return
+	}
+	for _, caller := range s.callers {
+		s.sendRetained(caller)
+	}
+}
+
+// sendRetained sends a connection the retained releases that it may be sent now.
+func (s *Session) sendRetained(caller *state.Caller) {
+	if s.releases.Ready(&caller.Delivery) {
+		s.copyReleases(caller, s.releases.Take(&caller.Delivery, releaseBuffers(caller), s.now))
+	}
+}
+
+// copyReleases writes copies of retained releases to a caller.
+func (s *Session) copyReleases(caller *state.Caller, releases []delivery.Release) {
+	for _, release := range releases {
+		box := s.callerOutbox(caller)
+		if box == nil {
+			return
+		}
+		box.Bytes = wire.AppendRelease(box.Bytes, release.Call, release.Cause, 0)
+	}
+}
+
+// releaseBuffers returns the state of a caller's buffers.
+func releaseBuffers(caller *state.Caller) delivery.Buffers {
+	return delivery.Buffers{Unsent: caller.Conn.Unsent()}
+}
+
+// countRetained updates the counters of retained releases.
+func (s *Session) countRetained() {
+	s.Counters[state.ReleasesRetained] = s.releases.Retained
+	s.Counters[state.ReleaseCopies] = s.releases.Copied
+	s.Counters[state.ReleasesDropped] = s.releases.Dropped
+}
+
+// expireReleases forgets releases that were sent on further connections for long enough.
+func (s *Session) expireReleases() {
+	for _, caller := range s.callers {
+		s.releases.ExpireSent(&caller.Delivery, s.now)
+	}
+	s.releases.Expire(s.now)
+}
+
+// sendAck acknowledges an office's release, if the office is connected.
+func (s *Session) sendAck(officeConn *state.OfficeConn, call uint64) {
+	if officeConn.Conn != nil {
+		box := s.officeOutbox(officeConn)
+		box.Bytes = wire.AppendHeard(box.Bytes, call)
+	}
+}
--- a/internal/session/callers.go
+++ b/internal/session/callers.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
+	"io"
 	"slices"
 	"strconv"
 
@@ -22,7 +24,7 @@
 	}
 	s.Counters[state.CallersIn]++
 	caller := &state.Caller{Conn: arrival.Conn, Since: s.now, Open: map[uint64]*state.Call{}, IdleSince: s.now,
-		PendingReleases: map[uint64]state.PendingRelease{}}
+		Delivery: s.releases.Open()}
 	s.connOwners[arrival.Conn] = caller
 	s.callers = append(s.callers, caller)
 	if s.pooled.connSelector != nil {
@@ -30,37 +32,21 @@
 	}
 }
 
-// markActive notes that a connection has asked for a call or ended one, which makes it eligible for
-// undelivered releases. Connections of the load balancer only carry health tests and must not receive releases:
-// the load balancer would count the test as failed.
+// markActive notes that a connection has asked for a call or ended one, and sends it the retained releases.
 func (s *Session) markActive(caller *state.Caller) {
 	caller.LastSetUp = s.now
-	if len(s.undeliveredReleases) == 0 {
-		return
-	}
-	for id, ending := range inKeyOrder(s.undeliveredReleases) {
-		if !ending.Sent {
-			s.releaseToCaller(id, ending.Cause, nil)
-		}
-	}
+	caller.Delivery.Requested()
+	s.sendRetained(caller)
 }
 
 // mayBeTrusted reports whether a connection has asked for a call or ended one.
 func mayBeTrusted(caller *state.Caller) bool { return caller.Trusted || caller.LastSetUp != 0 }
 
-// trustCaller marks a connection as that of a well-behaved caller and sends it the releases for which there
-// was no such connection.
+// trustCaller marks a connection as that of a well-behaved caller.
 func (s *Session) trustCaller(caller *state.Caller) {
-	if caller.Trusted {
-		return
-	}
-	caller.Trusted = true
-	caller.Conn.MarkTrusted()
-	for id, ending := range inKeyOrder(s.undeliveredReleases) {
-		delete(s.undeliveredReleases, id)
-		if _, alreadySent := caller.PendingReleases[id]; !alreadySent {
-			s.releaseToCaller(id, ending.Cause, caller)
-		}
+	if !caller.Trusted {
+		caller.Trusted = true
+		caller.Conn.MarkTrusted()
 	}
 }
 
@@ -85,7 +71,7 @@
 			continue
 		}
 		// A caller that has not read an answer for so long has most likely vanished.
-		if !caller.Conn.Pending() || s.now-caller.IdleSince > callerReleaseTTL && !caller.Conn.Unread() {
+		if !caller.Conn.Pending() || s.now-caller.IdleSince > unreadAnswerTimeout && !caller.Conn.Unread() {
 			idle = caller
 		}
 	}
@@ -135,21 +121,13 @@
 	s.closeConn(caller.Conn, err)
 }
 
-func (s *Session) callerDisconnected(caller *state.Caller) {
+func (s *Session) callerDisconnected(caller *state.Caller, err error) {
 	s.callers = slices.DeleteFunc(s.callers, func(c *state.Caller) bool { return c == caller })
 	for _, call := range inKeyOrder(caller.Open) {
 		s.callerCancelled(call)
 	}
-	// A release written shortly before the connection closed may not have been read; it is repeated on
-	// another connection.
-	for id, ending := range inKeyOrder(caller.PendingReleases) {
-		if kept, ok := s.undeliveredReleases[id]; ok {
-			kept.Sent = false
-			s.undeliveredReleases[id] = kept
-		} else if s.now-ending.At <= callerReleaseTTL {
-			s.releaseToCaller(id, ending.Cause, nil)
-		}
-	}
+	orderly := errors.Is(err, io.EOF) && !caller.Conn.Unsent()
+	s.releases.Close(&caller.Delivery, orderly, s.now)
 	caller.Conn = nil
 	if s.pooled.connSelector != nil {
 		s.pooled.connSelector.Closed(s.now, pooling.ClientID(caller.Client), pooling.SessionID(caller.Session))
@@ -163,9 +141,7 @@
 	case wire.TypeRelease:
 		s.handleCallerRelease(caller, message)
 	case wire.TypeHeard:
-		if _, ours := caller.PendingReleases[message.Call]; ours {
-			delete(caller.PendingReleases, message.Call)
-			delete(s.undeliveredReleases, message.Call)
+		if s.releases.Acknowledged(&caller.Delivery, message.Call) && caller.LastSetUp != 0 {
 			s.trustCaller(caller)
 		}
 	case wire.TypeTest:
@@ -404,34 +380,6 @@
 // retryAfterMillis converts a retry delay from microseconds to milliseconds, rounded up.
 func retryAfterMillis(wait int64) int64 { return (wait + 999) / 1000 }
 
-// releaseToCaller reports the release of a call to its caller: on the given connection, else on that of any
-// trusted caller, else on one that has asked for a call. In the last case the release is repeated to the next
-// trusted caller. Misbehaving clients, which connect by the hundreds and ignore releases, must not be the only
-// ones to receive it.
-func (s *Session) releaseToCaller(call uint64, cause byte, caller *state.Caller) {
-	if caller == nil || caller.Conn == nil {
-		caller = nil
-		for _, c := range slices.Backward(s.callers) { // the newest is the least likely to be closing
-			if c.Trusted {
-				caller = c
-				break
-			}
-			if caller == nil && c.LastSetUp != 0 {
-				caller = c // may be the first connection of a well-behaved caller
-			}
-		}
-		if caller == nil || !caller.Trusted {
-			s.undeliveredReleases[call] = state.PendingRelease{Cause: cause, At: s.now, Sent: caller != nil}
-		}
-		if caller == nil {
-			return
-		}
-	}
-	s.Counters[state.ReleasesOut]++
-	caller.PendingReleases[call] = state.PendingRelease{Cause: cause, At: s.now}
-	s.sendRelease(caller, call, cause, 0)
-}
-
 // formatCallID formats a call id as in the protocol.
 func formatCallID(call uint64) string {
 	s := strconv.FormatUint(call, 16)
--- a/internal/session/exchange_test.go
+++ b/internal/session/exchange_test.go
@@ -557,8 +557,8 @@
 	p.until(p.now + 2*endedCallTTL)
 	s := p.s
 	for what, n := range map[string]int{"calls": len(s.calls), "established calls": len(s.established),
-		"undelivered releases": len(s.undeliveredReleases),
-		"remembered ids":       len(s.endedCalls), "bytes": int(s.callBytes),
+		"retained releases": s.releases.Len(),
+		"remembered ids":    len(s.endedCalls), "bytes": int(s.callBytes),
 		"dials": len(s.dials), "callers": len(s.callers)} {
 		if n != 0 {
 			t.Errorf("%d %s are left", n, what)
--- a/internal/session/offices.go
+++ b/internal/session/offices.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"pewterwheel/decide"
+	"pewterwheel/internal/delivery"
 	"pewterwheel/internal/liveness"
 	"pewterwheel/internal/pooling"
 	"pewterwheel/internal/state"
@@ -197,8 +198,7 @@
 		if s.pooled.connSelector != nil {
 			ackOn = s.connForAck(officeConn, message.Call)
 		}
-		box := s.officeOutbox(ackOn)
-		box.Bytes = wire.AppendHeard(box.Bytes, message.Call)
+		s.sendAck(ackOn, message.Call)
 	}
 	if attempt := s.outstandingAttempt(officeConn, message.Call); attempt != nil {
 		ended, ok := releaseOutcomes[cause]
@@ -233,8 +233,9 @@
 		if s.pooled.connSelector != nil {
 			s.observe(pooling.EndedByOffice, message.Call, cause, nil)
 		}
+		from := established.From
 		s.endEstablished(established)
-		s.releaseToCaller(message.Call, cause, established.From)
+		s.releaseToCaller(delivery.Release{Call: message.Call, Cause: cause}, from)
 	} else if _, known := s.endedCalls[message.Call]; !known && s.calls[message.Call] == nil {
 		// bounds memory; no office has so many at once
 		if office.UnknownReleases++; office.UnknownReleases > maxPendingReleases {
@@ -242,7 +243,7 @@
 			return
 		}
 		s.earlierCallSeen = s.now
-		s.releaseToCaller(message.Call, cause, nil) // a call of a previous process
+		s.releaseToCaller(delivery.Release{Call: message.Call, Cause: cause}, nil) // a call of a previous process
 	}
 	s.endedCalls[message.Call] = s.now
 }
@@ -273,5 +274,5 @@
 	call, from := established.ID, established.From
 	s.endedCalls[call] = s.now
 	s.endEstablished(established)
-	s.releaseToCaller(call, wire.CauseCut, from)
+	s.releaseToCaller(delivery.Release{Call: call, Cause: wire.CauseCut}, from)
 }
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -10,6 +10,7 @@
 
 	"pewterwheel/decide"
 	"pewterwheel/internal/admit"
+	"pewterwheel/internal/delivery"
 	"pewterwheel/internal/liveness"
 	"pewterwheel/internal/membership"
 	"pewterwheel/internal/pooling"
@@ -98,9 +99,8 @@
 	// releaseRepeatDelay is how much later a release is repeated to an office if its connection ended with unsent
 	// data.
 	releaseRepeatDelay = 1_000_000
-	// callerReleaseTTL is how long a release to a caller is pending: if the caller disconnects within this
-	// time without acknowledging it, it may not have read it.
-	callerReleaseTTL = 6_000_000
+	// unreadAnswerTimeout is how long a caller may leave what was written to it unread before it counts as vanished.
+	unreadAnswerTimeout = 6_000_000
 	// acceptAfterShutdown is how long after SIGTERM connections (0.4 s) and set-ups on them (another 0.2 s) may
 	// still arrive.
 	acceptAfterShutdown = 850_000
@@ -176,16 +176,16 @@
 	dialTimeout     int64
 	maxDeadline     int64 // the longest deadline of a class
 
-	reportRhythm        liveness.ReportInterval // of all offices' reports
-	callDurations       *liveness.HoldingTimes  // distribution of call durations
-	livenessClock       checkClock              // state of the office checks
-	connOwners          map[state.Conn]any      // *state.Caller, *state.OfficeConn, *state.ControlConn or *journal
-	callers             []*state.Caller         // in order of arrival
-	controlConns        []*state.ControlConn    // in order of arrival
-	answerCounts        []state.FinalAnswers    // by class
-	calls               map[uint64]*state.Call
-	established         map[uint64]*state.EstablishedCall
-	undeliveredReleases map[uint64]state.PendingRelease // releases for callers that were not sent to a trusted one
+	reportRhythm  liveness.ReportInterval // of all offices' reports
+	callDurations *liveness.HoldingTimes  // distribution of call durations
+	livenessClock checkClock              // state of the office checks
+	connOwners    map[state.Conn]any      // *state.Caller, *state.OfficeConn, *state.ControlConn or *journal
+	callers       []*state.Caller         // in order of arrival
+	controlConns  []*state.ControlConn    // in order of arrival
+	answerCounts  []state.FinalAnswers    // by class
+	calls         map[uint64]*state.Call
+	established   map[uint64]*state.EstablishedCall
+	releases      delivery.Log // releases towards callers
 	// callers' releases of a previous process's calls, for later offices
 	earlierReleases map[uint64]state.PendingRelease
 	endedCalls      map[uint64]int64 // ids of ended calls, and when they ended
@@ -224,7 +224,7 @@
 		descriptorLimit: cfg.Sockets - reservedDescriptors(cfg.Sockets), maxCallBytes: math.MaxInt64,
 		dialTimeout: cfg.Settings.DialLimit().Microseconds(),
 		connOwners:  map[state.Conn]any{}, calls: map[uint64]*state.Call{},
-		established: map[uint64]*state.EstablishedCall{}, undeliveredReleases: map[uint64]state.PendingRelease{},
+		established:     map[uint64]*state.EstablishedCall{},
 		earlierReleases: map[uint64]state.PendingRelease{}, endedCalls: map[uint64]int64{},
 		dials: map[uint64]*state.OfficeConn{}, pendingRedials: map[uint64]*state.Office{}}
 	s.maxEagerOffices = min(maxEagerOffices, max(1, s.descriptorLimit-cfg.Sockets/callerReserveDivisor))
@@ -307,6 +307,7 @@
 	if s.pooled.connSelector != nil {
 		s.finishConnRound()
 	}
+	s.sendRetainedToAll()
 	s.flush()
 	s.callPool.Recycle()
 }
@@ -369,6 +370,7 @@
 
 // Report logs the counters and the current state.
 func (s *Session) Report() {
+	s.countRetained()
 	s.log.Info("counters", "counts", s.Counters.String(), "open", s.countOpen(), "standing", len(s.established),
 		"callers", len(s.callers), "offices", len(s.offices.All()))
 }
--- a/internal/session/timers.go
+++ b/internal/session/timers.go
@@ -76,12 +76,8 @@
 	s.pooled.peakTracked = max(s.pooled.peakTracked, len(s.pooled.tracked))
 	s.pooled.tracked = shrinkMap(s.pooled.tracked, &s.pooled.peakTracked)
 	expired := func(_ uint64, ending state.PendingRelease) bool { return s.now-ending.At > endedCallTTL }
-	maps.DeleteFunc(s.undeliveredReleases, expired)
 	maps.DeleteFunc(s.earlierReleases, expired)
-	for _, caller := range s.callers {
-		maps.DeleteFunc(caller.PendingReleases,
-			func(_ uint64, ending state.PendingRelease) bool { return s.now-ending.At > callerReleaseTTL })
-	}
+	s.expireReleases()
 	for _, office := range s.offices.All() {
 		maps.DeleteFunc(office.PendingReleases, expired)
 		s.repeatDueReleases(office)
--- a/internal/state/counters.go
+++ b/internal/state/counters.go
@@ -54,6 +54,12 @@
 	ReleasedRestarted
 	ReleasedNoneEnded
 	ReleasedEarly // of these, calls that their office ended later
+
+	// Releases whose client was not certainly connected, the copies of them sent to possible clients, and those dropped
+	// because too many were retained.
+	ReleasesRetained
+	ReleaseCopies
+	ReleasesDropped
 	counters
 )
 
@@ -64,7 +70,7 @@
 	"asked_in", "reloads", "reload_errors", "reads", "writes", "rounds", "timers", "copied", "refused_at_door",
 	"offices_suspected", "offices_unresponsive", "offices_back", "released_silent", "released_stalled",
 	"released_refused", "released_unreachable", "released_departing", "released_restarted",
-	"released_none_ended", "released_early"}
+	"released_none_ended", "released_early", "releases_retained", "release_copies", "releases_dropped"}
 
 // Counters count what the program receives, sends and answers.
 type Counters [counters]uint64
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"pewterwheel/decide"
+	"pewterwheel/internal/delivery"
 	"pewterwheel/internal/liveness"
 	"pewterwheel/internal/wire"
 )
@@ -174,9 +175,9 @@
 	LastSetUp        int64            // when its last set-up was received
 	Replied          bool             // it was sent an answer, a refusal or the result of a test
 	// Trusted: had an established call or acknowledged a release; abusive clients do neither
-	Trusted         bool
-	InvalidCount    int                       // number of set-ups and releases that could not be interpreted
-	PendingReleases map[uint64]PendingRelease // pending releases to the caller
+	Trusted      bool
+	InvalidCount int                 // number of set-ups and releases that could not be interpreted
+	Delivery     delivery.Connection // releases sent on it, and still to be sent
 
 	Session uint64 // number of the connection, never reused; 0: calls are not assigned to pooled connections
 	Client  uint32 // identity of the client, as assigned by pooling
@@ -192,12 +193,11 @@
 // FinalAnswers counts the final answers given to a class's calls.
 type FinalAnswers struct{ Completed, Rejected, Failed uint64 }
 
-// PendingRelease is a pending release: it was sent, or is to be sent, and is not acknowledged yet.
+// PendingRelease is a pending release to an office: it was sent, or is to be sent, and is not acknowledged yet.
 type PendingRelease struct {
 	Cause      byte
 	At         int64
-	Sent       bool   // it was sent to a caller, but to none that is trusted
-	ConnNumber uint32 // number of the connection on which it was sent to an office
+	ConnNumber uint32 // number of the connection on which it was sent
 	RepeatAt   int64  // when it is repeated to the office although it was acknowledged; 0: it is not
 	// Unresponsive: it was sent because the office was assumed to be unable to end the call.
 	Unresponsive bool
