Tell clients that have nothing to ask of the ends of their calls

Cause: ends went only to connections that had brought a request, so that the load balancer's tests got none. A silent client's connections never had one: each was ended after 2 s, or sooner to make room, and what waited was dropped after 20 s.

Evidence: the record has the offices' releases while the client is connected, and nothing on its connections.

Change: a connection that has only tested is the load balancer's and gets no ends, as before. One that has brought nothing is a client's once its test should have come: after 0.5 s, if nothing of it waits unread or has begun that may be a test. Before this side closes a silent connection, for room, idleness, a drain or a shutdown, it writes what is retained, so that a client that is crowded out again and again is told too. Silent connections share half of the copies a second, so hundreds of them cannot delay who asks; being sent an end is no reply, so they are ended after 2 s as before, and an acknowledgement on one makes it no trusted caller.

--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -8,8 +8,9 @@
 // protocol and proves nothing about other connections, so none ends this; neither does a connection's source address
 // play a part, because clients may share one.
 //
-// The load balancer's connections carry health tests alone, and a release would fail the test, so only connections that
-// have brought a request of a client are sent releases.
+// The load balancer's connections carry health tests alone, and a release would fail the test, so connections that have
+// only tested are left out. A connection that has sent nothing yet may be either; it counts as a client's once its
+// test, if it were the load balancer's, should have arrived.
 package delivery
 
 import (
@@ -25,6 +26,9 @@
 	// roundInterval is the shortest time between two rounds of deliveries, so that many releases share a write. A
 	// release is due within 1 s.
 	roundInterval = 100_000
+	// silentGrace is how long a new connection without a message may still turn out to be the load balancer's. Together
+	// with roundInterval it stays well below the second within which a release is due.
+	silentGrace = 500_000
 	// readWindow is how long before a client closes a connection a release that was written to it may not have been
 	// read. Clients close an idle connection no earlier than 4 s after its last call ended, so that an ordinary close
 	// leaves nothing in doubt.
@@ -44,6 +48,9 @@
 	// copiesPerSecond bounds the copies of retained releases that are sent on all connections together, at 15 bytes
 	// each.
 	copiesPerSecond = 400_000
+	// reservedCopies of these are kept for connections that are known to be clients': hundreds of silent connections
+	// cannot delay a client that goes on asking.
+	reservedCopies = copiesPerSecond / 2
 )
 
 const microsecondsPerSecond = 1_000_000
@@ -68,8 +75,10 @@
 
 // Connection is what is known of one caller's connection. It is made by Log.Open.
 type Connection struct {
+	opened      int64
 	closed      bool
 	requested   bool                   // it has brought a request of a client
+	tested      bool                   // it has brought a health test
 	next        uint64                 // sequence number of the next retained release for it
 	unconfirmed map[uint64]sentRelease // by call
 }
@@ -77,8 +86,12 @@
 // Requested notes a set-up or a release on the connection, which only clients send.
 func (c *Connection) Requested() { c.requested = true }
 
+// Tested notes a health test on the connection.
+func (c *Connection) Tested() { c.tested = true }
+
 // Buffers is the state of a connection's buffers at a decision.
 type Buffers struct {
+	Unread bool // received data was not processed yet, and may be a health test
 	Unsent bool // written data has not left yet
 }
 
@@ -99,7 +112,7 @@
 }
 
 // Open notes a new connection, on which every retained release is still to be sent.
-func (l *Log) Open() Connection { return Connection{next: l.first} }
+func (l *Log) Open(now int64) Connection { return Connection{opened: now, next: l.first} }
 
 // Release notes the end of a call. It reports whether the release is to be sent now on the connection of the call's
 // set-up; otherwise it is retained. A nil connection is that of a call of a previous process.
@@ -181,21 +194,46 @@
 
 // Ready reports whether releases are waiting for a connection on which they may be sent, as far as its buffers allow
 // it.
-func (l *Log) Ready(c *Connection) bool {
-	return c.requested && !c.closed && c.next < l.first+uint64(len(l.entries))
+func (l *Log) Ready(c *Connection, now int64) bool {
+	if !l.waiting(c) {
+		return false
+	}
+	return c.requested || now-c.opened >= silentGrace
 }
 
 // Take returns the releases to send on a connection that is Ready, each once. The result is valid until the next call
 // of any method.
 func (l *Log) Take(c *Connection, buffers Buffers, now int64) []Release {
-	if buffers.Unsent || !l.Ready(c) {
+	if buffers.Unsent || !l.Ready(c, now) || !c.requested && buffers.Unread {
+		return nil
+	}
+	return l.take(c, maxBatch, now)
+}
+
+// TakeLast returns the releases to send on a connection that is about to be closed by this side. A silent client may
+// never be left connected for longer, for instance while others crowd it out, so silentGrace does not count; the load
+// balancer's test would fail at such a connection in any case.
+func (l *Log) TakeLast(c *Connection, buffers Buffers, now int64) []Release {
+	if buffers.Unsent || !l.waiting(c) || !c.requested && buffers.Unread {
 		return nil
 	}
+	return l.take(c, maxRetained, now)
+}
+
+// waiting reports whether a connection that may be a client's has not been sent all retained releases.
+func (l *Log) waiting(c *Connection) bool {
+	return !c.closed && (c.requested || !c.tested) && c.next < l.first+uint64(len(l.entries))
+}
+
+func (l *Log) take(c *Connection, most int, now int64) []Release {
 	l.regain(now)
 	allowed := copiesPerSecond - l.spent
+	if !c.requested {
+		allowed -= reservedCopies
+	}
 	c.next = max(c.next, l.first)
 	waiting := l.entries[c.next-l.first:]
-	count := max(0, min(int64(len(waiting)), maxBatch, allowed))
+	count := max(0, min(int64(len(waiting)), int64(most), allowed))
 	c.next += uint64(count)
 	l.spent += count
 	l.Copied += uint64(count)
--- a/internal/delivery/delivery_test.go
+++ b/internal/delivery/delivery_test.go
@@ -32,13 +32,15 @@
 }
 
 func (s *sim) connect(client *simClient) {
-	conn := s.log.Open()
+	conn := s.log.Open(s.now)
 	client.conn, client.connected, client.sent = &conn, s.now, map[uint64]int{}
 	for call := range client.owed {
 		client.owed[call] = s.now
 	}
 	switch {
-	case !client.loadBalance:
+	case client.loadBalance:
+		client.conn.Tested()
+	case client.requests:
 		client.conn.Requested()
 		s.deliver(client, s.log.Take(client.conn, Buffers{}, s.now))
 	}
@@ -59,6 +61,9 @@
 // disconnect ends a client's connection: the client closes it, or this side does.
 func (s *sim) disconnect(client *simClient) {
 	orderly := s.rng.IntN(2) == 0
+	if !orderly {
+		s.deliver(client, s.log.TakeLast(client.conn, Buffers{}, s.now))
+	}
 	s.log.Close(client.conn, orderly, s.now)
 	client.conn = nil
 }
@@ -83,7 +88,7 @@
 func (s *sim) round() {
 	if s.log.StartRound(s.now) {
 		for _, client := range s.clients {
-			if client.conn != nil && s.log.Ready(client.conn) {
+			if client.conn != nil && s.log.Ready(client.conn, s.now) {
 				s.deliver(client, s.log.Take(client.conn, Buffers{}, s.now))
 			}
 		}
@@ -98,14 +103,14 @@
 	}
 }
 
-// Clients come and go at random, some acknowledging what is not theirs: each that stays
+// Clients come and go at random, some with nothing to ask, some acknowledging what is not theirs: each that stays
 // connected for a second is sent the ends of its calls, no connection the same one twice, and the load balancer none.
 func TestEachClientIsSentItsReleases(t *testing.T) {
 	for seed := range uint64(200) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			s := &sim{t: t, rng: rand.New(rand.NewPCG(seed, 50))}
 			for i := range 3 + s.rng.IntN(10) {
-				s.clients = append(s.clients, &simClient{requests: true, loadBalance: i == 0,
+				s.clients = append(s.clients, &simClient{requests: s.rng.IntN(2) == 0, loadBalance: i == 0,
 					owed: map[uint64]int64{}})
 			}
 			for range 1500 {
@@ -132,10 +137,50 @@
 	}
 }
 
+// A thousand calls have ended, and a thousand silent connections come each second and read nothing that would identify
+// them: the copies stay within their rate, those of silent connections within their share, and a client that asks has
+// all releases at once.
+func TestSilentCrowdsAreBounded(t *testing.T) {
+	var log Log
+	const ends, crowd, duration = 1000, 1000, 10
+	now := int64(microsecondsPerSecond)
+	for call := range uint64(ends) {
+		log.Release(Release{Call: call + 1}, nil, now)
+	}
+	for second := range duration {
+		var silent []Connection
+		for range crowd {
+			silent = append(silent, log.Open(now))
+		}
+		for range 10 {
+			now += roundInterval
+			if !log.StartRound(now) {
+				t.Fatal("no round is due")
+			}
+			for i := range silent {
+				if taken := len(log.Take(&silent[i], Buffers{}, now)); taken > maxBatch {
+					t.Fatalf("%d releases were sent at once", taken)
+				}
+			}
+		}
+		client := log.Open(now)
+		client.Requested()
+		if taken := len(log.Take(&client, Buffers{}, now)); taken != ends {
+			t.Errorf("a client that asks was sent %d of %d releases in second %d", taken, ends, second)
+		}
+	}
+	if most := uint64((duration + 1) * copiesPerSecond); log.Copied > most {
+		t.Errorf("%d copies were sent in %d s, want at most %d", log.Copied, duration, most)
+	}
+	if least := uint64(duration * ends * 100); log.Copied < least {
+		t.Errorf("%d copies were sent in %d s, want at least %d: silent clients are left out", log.Copied, duration, least)
+	}
+}
+
 // The log and what is kept for a connection are bounded, whatever ends; the newest releases stay.
 func TestRetainedReleasesAreBounded(t *testing.T) {
 	var log Log
-	owner := log.Open()
+	owner := log.Open(0)
 	for call := range uint64(3 * maxUnconfirmed) {
 		log.Release(Release{Call: call + 1}, &owner, 1)
 	}
@@ -160,7 +205,7 @@
 // The same call is retained once, however often its office releases it or connections that were sent it end.
 func TestReleaseIsRetainedOnce(t *testing.T) {
 	var log Log
-	owner := log.Open()
+	owner := log.Open(0)
 	log.Release(Release{Call: 7}, &owner, 0)
 	log.Close(&owner, true, 1)
 	log.Release(Release{Call: 7}, &owner, 2)
@@ -187,7 +232,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var log Log
-			conn := log.Open()
+			conn := log.Open(0)
 			conn.Requested()
 			log.Release(Release{Call: 7}, &conn, millisecond)
 			if c.acknowledged && !log.Acknowledged(&conn, 7) {
@@ -204,7 +249,7 @@
 // Nothing is added to a connection whose written data does not leave; what waits is sent once it has left.
 func TestSlowReadersAreSentNothingMore(t *testing.T) {
 	var log Log
-	conn := log.Open()
+	conn := log.Open(0)
 	conn.Requested()
 	log.Release(Release{Call: 7}, nil, 0)
 	if taken := log.Take(&conn, Buffers{Unsent: true}, millisecond); len(taken) != 0 {
--- a/internal/session/arrivals.go
+++ b/internal/session/arrivals.go
@@ -144,6 +144,7 @@
 func (s *Session) closeConn(conn state.Conn, err error) {
 	switch role := s.connOwners[conn].(type) {
 	case *state.Caller:
+		s.sendRetainedBeforeClose(role)
 		s.writeCaller(role)
 	case *state.OfficeConn:
 		s.writeOffice(role)
--- a/internal/session/caller_releases.go
+++ b/internal/session/caller_releases.go
@@ -31,12 +31,20 @@
 
 // sendRetained sends a connection the retained releases that it may be sent now.
 func (s *Session) sendRetained(caller *state.Caller) {
-	if s.releases.Ready(&caller.Delivery) {
+	if s.releases.Ready(&caller.Delivery, s.now) {
 		s.copyReleases(caller, s.releases.Take(&caller.Delivery, releaseBuffers(caller), s.now))
 	}
 }
 
-// copyReleases writes copies of retained releases to a caller.
+// sendRetainedBeforeClose sends a connection that is about to be closed the retained releases that it was not sent yet.
+func (s *Session) sendRetainedBeforeClose(caller *state.Caller) {
+	if s.releases.Len() > 0 {
+		s.copyReleases(caller, s.releases.TakeLast(&caller.Delivery, releaseBuffers(caller), s.now))
+	}
+}
+
+// copyReleases writes copies of retained releases to a caller. They are no reply: a connection that asks for nothing is
+// still closed for that.
 func (s *Session) copyReleases(caller *state.Caller, releases []delivery.Release) {
 	for _, release := range releases {
 		box := s.callerOutbox(caller)
@@ -47,9 +55,10 @@
 	}
 }
 
-// releaseBuffers returns the state of a caller's buffers.
+// releaseBuffers returns the state of a caller's buffers. A message that has begun counts as unread if it may become a
+// health test.
 func releaseBuffers(caller *state.Caller) delivery.Buffers {
-	return delivery.Buffers{Unsent: caller.Conn.Unsent()}
+	return delivery.Buffers{Unread: caller.Conn.Unread() || wire.MayBeTest(caller.Buffer), Unsent: caller.Conn.Unsent()}
 }
 
 // countRetained updates the counters of retained releases.
--- a/internal/session/callers.go
+++ b/internal/session/callers.go
@@ -24,7 +24,7 @@
 	}
 	s.Counters[state.CallersIn]++
 	caller := &state.Caller{Conn: arrival.Conn, Since: s.now, Open: map[uint64]*state.Call{}, IdleSince: s.now,
-		Delivery: s.releases.Open()}
+		Delivery: s.releases.Open(s.now)}
 	s.connOwners[arrival.Conn] = caller
 	s.callers = append(s.callers, caller)
 	if s.pooled.connSelector != nil {
@@ -146,6 +146,7 @@
 		}
 	case wire.TypeTest:
 		s.Counters[state.TestsIn]++
+		caller.Delivery.Tested()
 		var passed byte = 1
 		if s.shutdownSince != 0 || s.drainingSince != 0 {
 			passed = 0
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -118,6 +118,12 @@
 	return max(length-have, length+int(binary.BigEndian.Uint16(begun))-have)
 }
 
+// MayBeTest reports whether a message that has begun is a health test, as far as can be told.
+func MayBeTest(begun []byte) bool {
+	const typeAt = 2 // behind the length
+	return len(begun) > 0 && (len(begun) <= typeAt || Type(begun[typeAt]) == TypeTest)
+}
+
 // Append writes the message behind b.
 func (m Message) Append(b []byte) ([]byte, error) {
 	size := messageHead
