Acknowledge an end to its office only once its client had its time to come

What callers could see: an office released a call whose client was not connected; the controller acknowledged that, because some other client was, and was then restarted. The office does not repeat what was acknowledged, the next process knows nothing of it, and the client is never told.

Cause: handleOfficeRelease acknowledged as soon as any connection had asked for a call.

Change: acknowledged at once is what went on the open connection of the set-up, or crossed this side's release. What is retained is acknowledged after its 20 s, on the connection that brought it or the main one. Until then an office repeats it on its next connection, as the protocol has it: here that is ignored, in a next process it is sent to all clients.

--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -16,6 +16,8 @@
 import (
 	"maps"
 	"slices"
+
+	"pewterwheel/decide"
 )
 
 // Times in microseconds.
@@ -57,8 +59,11 @@
 
 // Release is the release of an established call towards its client.
 type Release struct {
-	Call  uint64
-	Cause byte
+	Call   uint64
+	Cause  byte
+	Office decide.ServerID // the office whose release is not acknowledged yet; empty: none waits for that
+	// OfficeConn is the number of the connection on which the office released the call.
+	OfficeConn uint32
 }
 
 // retainedRelease is a release in the log.
@@ -251,7 +256,8 @@
 	l.spentAt = now
 }
 
-// Expire removes the releases that were retained for long enough, and returns them.
+// Expire removes the releases that were retained for long enough, and returns them so that their offices can be
+// acknowledged: until then an office that was not acknowledged repeats its release to a next process.
 func (l *Log) Expire(now int64) []Release {
 	var expired []Release
 	for _, entry := range l.entries {
--- a/internal/session/caller_releases.go
+++ b/internal/session/caller_releases.go
@@ -68,12 +68,17 @@
 	s.Counters[state.ReleasesDropped] = s.releases.Dropped
 }
 
-// expireReleases forgets releases that were sent on further connections for long enough.
+// expireReleases forgets releases that were sent on further connections for long enough, and acknowledges them to their
+// offices.
 func (s *Session) expireReleases() {
 	for _, caller := range s.callers {
 		s.releases.ExpireSent(&caller.Delivery, s.now)
 	}
-	s.releases.Expire(s.now)
+	for _, release := range s.releases.Expire(s.now) {
+		if office := s.offices.Get(release.Office); office != nil {
+			s.sendAck(office.OpenConn(release.OfficeConn), release.Call)
+		}
+	}
 }
 
 // sendAck acknowledges an office's release, if the office is connected.
@@ -83,3 +88,17 @@
 		box.Bytes = wire.AppendHeard(box.Bytes, call)
 	}
 }
+
+// acknowledgesRelease reports whether an office's release is acknowledged at once. One whose client is not known to be
+// connected is acknowledged only when this process has finished with it: should the process end before, the office
+// repeats the release on its next connection, to the next process.
+func (s *Session) acknowledgesRelease(office *state.Office, call uint64) bool {
+	if _, ended := office.PendingReleases[call]; ended || s.calls[call] != nil {
+		return true
+	}
+	if established := s.established[call]; established != nil {
+		return established.OfficeConn.To != office || established.From.Conn != nil
+	}
+	_, known := s.endedCalls[call]
+	return known && !s.releases.Retains(call)
+}
--- a/internal/session/caller_releases_test.go
+++ b/internal/session/caller_releases_test.go
@@ -244,3 +244,30 @@
 	p.wantReleased("x", 0xe1, 100+dueIn)
 	p.wantClosed("x", "y")
 }
+
+// A release that this process took and acknowledged was lost when the process ended before the call's client had come:
+// the office did not repeat it to the next process.
+func TestReleaseForDisconnectedClientIsNotAcknowledged(t *testing.T) {
+	p := newPlayer(t)
+	p.step()
+	p.play("10 a open")
+	p.play("10 b open")
+	p.establish(20, "a", 0xa1)
+	p.establish(40, "b", 0xb1)
+	p.play("1000 a close")
+	p.play("1500 o1 > " + releaseMessage(0xa1) + releaseMessage(0xb1) + releaseMessage(0xe1))
+	p.play("1600 o1 > " + releaseMessage(0xa1))
+	p.until(2_000_000)
+	for _, call := range []int{0xa1, 0xe1} {
+		if p.wroteMessage("o1", 0x10, call) {
+			t.Errorf("the release of call %x was acknowledged, though its client may not be connected", call)
+		}
+	}
+	if !p.wroteMessage("o1", 0x10, 0xb1) {
+		t.Error("the release of call b1 was not acknowledged, though the connection of its set-up is open")
+	}
+	p.until(30_000_000)
+	if !p.wroteMessage("o1", 0x10, 0xa1) || !p.wroteMessage("o1", 0x10, 0xe1) {
+		t.Error("releases that were sent to all clients for 20 s were not acknowledged")
+	}
+}
--- a/internal/session/callers.go
+++ b/internal/session/callers.go
@@ -39,9 +39,6 @@
 	s.sendRetained(caller)
 }
 
-// mayBeTrusted reports whether a connection has asked for a call or ended one.
-func mayBeTrusted(caller *state.Caller) bool { return caller.Trusted || caller.LastSetUp != 0 }
-
 // trustCaller marks a connection as that of a well-behaved caller.
 func (s *Session) trustCaller(caller *state.Caller) {
 	if !caller.Trusted {
--- a/internal/session/offices.go
+++ b/internal/session/offices.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"slices"
 
 	"pewterwheel/decide"
 	"pewterwheel/internal/delivery"
@@ -189,11 +188,7 @@
 
 func (s *Session) handleOfficeRelease(officeConn *state.OfficeConn, message wire.Message, arrivedAt int64) {
 	office, cause := officeConn.To, message.Cause()
-	// If no caller is connected that could be told of the call's end, the release is not acknowledged, so that
-	// the office repeats it on its next connection. This process may have exited by then, and what it has
-	// received would be lost.
-	if _, ended := office.PendingReleases[message.Call]; ended || s.calls[message.Call] != nil ||
-		slices.ContainsFunc(s.callers, mayBeTrusted) {
+	if s.acknowledgesRelease(office, message.Call) {
 		ackOn := officeConn
 		if s.pooled.connSelector != nil {
 			ackOn = s.connForAck(officeConn, message.Call)
@@ -235,7 +230,7 @@
 		}
 		from := established.From
 		s.endEstablished(established)
-		s.releaseToCaller(delivery.Release{Call: message.Call, Cause: cause}, from)
+		s.releaseToCaller(releaseBy(officeConn, message), from)
 	} else if _, known := s.endedCalls[message.Call]; !known && s.calls[message.Call] == nil {
 		// bounds memory; no office has so many at once
 		if office.UnknownReleases++; office.UnknownReleases > maxPendingReleases {
@@ -243,11 +238,17 @@
 			return
 		}
 		s.earlierCallSeen = s.now
-		s.releaseToCaller(delivery.Release{Call: message.Call, Cause: cause}, nil) // a call of a previous process
+		s.releaseToCaller(releaseBy(officeConn, message), nil) // a call of a previous process
 	}
 	s.endedCalls[message.Call] = s.now
 }
 
+// releaseBy returns the release that an office has sent, for the call's client.
+func releaseBy(officeConn *state.OfficeConn, message wire.Message) delivery.Release {
+	return delivery.Release{Call: message.Call, Cause: message.Cause(), Office: officeConn.To.ID,
+		OfficeConn: officeConn.Number}
+}
+
 func (s *Session) endEstablished(established *state.EstablishedCall) {
 	s.reportCallOver(established.ID)
 	delete(s.established, established.ID)
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -255,6 +255,16 @@
 	Overflow    *OfficeConn            // not a connection: attempts wait here if no further one is allowed
 }
 
+// OpenConn returns the open connection with a number, or the main connection if that one has ended.
+func (o *Office) OpenConn(number uint32) *OfficeConn {
+	for _, pooled := range o.Pooled {
+		if pooled.Number == number && pooled.Conn != nil {
+			return pooled
+		}
+	}
+	return &o.OfficeConn
+}
+
 // Offices is the list of offices.
 type Offices struct {
 	byID    map[decide.ServerID]*Office
