--- a/internal/session/caller_releases.go
+++ b/internal/session/caller_releases.go
@@ -6,8 +6,8 @@
 	"pewterwheel/internal/wire"
 )
 
-// releaseToCaller sends a call's release to its client: on the connection of the set-up while that is open, otherwise on
-// each connection that may be the client's, as s.releases decides. from is nil for a call of a previous process.
+// releaseToCaller sends a call's release to its client: on the connection of the set-up while that is open, otherwise
+// on each connection that may be the client's, as s.releases decides. from is nil for a call of a previous process.
 func (s *Session) releaseToCaller(release delivery.Release, from *state.Caller) {
 	s.Counters[state.ReleasesOut]++
 	var setUpOn *delivery.Connection
--- a/internal/session/caller_releases_test.go
+++ b/internal/session/caller_releases_test.go
@@ -10,8 +10,8 @@
 	"testing"
 )
 
-// The files in testdata/ends play one failure each; the first line says which. Beside the lines of recordings they have,
-// with the millisecond first:
+// The files in testdata/ends play one failure each; the first line says which. Beside the lines of recordings they
+// have, with the millisecond first:
 //
 //	20 a call a1          a call is set up on the connection a and answered by the first office; asks: it is not answered
 //	1000 crowd x          so many connections open that others are closed to make room
--- a/internal/state/counters.go
+++ b/internal/state/counters.go
@@ -1,9 +1,6 @@
 package state
 
-import (
-	"fmt"
-	"strings"
-)
+import "strconv"
 
 // Counter identifies one of the counters.
 type Counter int
@@ -77,12 +74,14 @@
 
 // String returns all counters in one line.
 func (c *Counters) String() string {
-	var b strings.Builder
+	var line []byte
 	for i, n := range c {
 		if i > 0 {
-			b.WriteByte(' ')
+			line = append(line, ' ')
 		}
-		fmt.Fprintf(&b, "%s=%d", counterNames[i], n)
+		line = append(line, counterNames[i]...)
+		line = append(line, '=')
+		line = strconv.AppendUint(line, n, 10)
 	}
-	return b.String()
+	return string(line)
 }
