--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -16,8 +16,6 @@
 	address string
 	mu      sync.Mutex
 	link    *link
-	quiet   bool // it does not open its connection again
-	onLink  func(*link)
 }
 
 func newClient(b *book, name, address string) *client {
@@ -55,14 +53,11 @@
 			if c.link == k {
 				c.link = nil
 			}
-			quiet := c.quiet
 			c.mu.Unlock()
 			_ = k.Close()
 			c.b.note("%s: connection ended: %v", c.name, err)
-			if !quiet {
-				time.Sleep(20 * time.Millisecond)
-				c.connect()
-			}
+			time.Sleep(20 * time.Millisecond)
+			c.connect()
 			return
 		}
 		switch m.kind {
@@ -111,14 +106,3 @@
 	_ = k.send(setUpMessage(offered.id, class, wait, dest, first, second, hold, 300))
 	return offered
 }
-
-// close ends the connection for good.
-func (c *client) close() {
-	c.mu.Lock()
-	c.quiet = true
-	k := c.link
-	c.mu.Unlock()
-	if k != nil {
-		_ = k.Close()
-	}
-}
--- a/review/rig2/journal.go
+++ b/review/rig2/journal.go
@@ -13,15 +13,10 @@
 	"time"
 )
 
-// States of an office on the list.
-const (
-	ready, draining, gone = 0, 1, 2
-)
-
 // entry is an office on the list.
 type entry struct {
 	o       *office
-	state   byte
+	state   byte  // 0 ready, 1 draining, 2 gone
 	started int64 // Unix milliseconds; 0: long ago
 }
 
--- a/review/rig2/wire.go
+++ b/review/rig2/wire.go
@@ -96,7 +96,6 @@
 	mu     sync.Mutex
 	opened time.Time
 	used   time.Time // last message of a call, in either direction
-	closed bool
 }
 
 func newLink(c net.Conn) *link { return &link{Conn: c, opened: time.Now(), used: time.Now()} }
