Let a case that could not run exit with 2 in the second review

Need: a case whose calls were not set up, or had not ended, counted as held, and one whose controller was ended from outside could count as broken. Change: review/rig2. Both now exit with 2; a controller that ends by itself still counts as broken.

--- a/review/rig2/proc.go
+++ b/review/rig2/proc.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -46,7 +47,7 @@
 	cmd     *exec.Cmd
 	control string
 	done    chan struct{}
-	killed  bool
+	asked   atomic.Bool // it was sent a signal by the rig
 }
 
 // freeAddress finds a port below the system's own range that nobody listens on.
@@ -109,6 +110,10 @@
 		err := p.cmd.Wait()
 		s.b.note("%s: process ended: %v", name, err)
 		close(p.done)
+		if state, ok := p.cmd.ProcessState.Sys().(syscall.WaitStatus); ok && !p.asked.Load() && state.Signaled() &&
+			(state.Signal() == syscall.SIGKILL || state.Signal() == syscall.SIGTERM || state.Signal() == syscall.SIGINT) {
+			fail("%s was ended from outside: %v", name, state.Signal())
+		}
 	}()
 	return p
 }
@@ -133,6 +138,9 @@
 			s.b.note("%s: ready", p.name)
 			return
 		}
+		if p.ended() {
+			fail("%s ended before it was ready", p.name)
+		}
 		time.Sleep(100 * time.Millisecond)
 	}
 	fail("%s: not ready within 30 s", p.name)
@@ -140,7 +148,7 @@
 
 func (s *site) signal(p *proc, sig syscall.Signal) {
 	s.b.note("%s: %v", p.name, sig)
-	p.killed = true
+	p.asked.Store(true)
 	_ = p.cmd.Process.Signal(sig)
 }
 
@@ -156,7 +164,7 @@
 // crashed tells of a process that ended and was not asked to.
 func (s *site) crashed() bool {
 	for _, p := range s.procs {
-		if p.ended() && !p.killed {
+		if p.ended() && !p.asked.Load() {
 			return true
 		}
 	}
@@ -165,6 +173,9 @@
 
 // end ends all processes.
 func (s *site) end() {
+	for _, p := range s.procs {
+		p.asked.Store(true)
+	}
 	for _, p := range s.procs {
 		if !p.ended() {
 			_ = p.cmd.Process.Kill()
--- a/review/rig2/restart.go
+++ b/review/rig2/restart.go
@@ -128,6 +128,9 @@
 			s.b.note("call %x: its client released it at %.3f, and it still stands at %s", k.id, s.b.at(k.hungUp), at.office)
 		}
 	}
+	if stood < len(calls)*9/10 {
+		fail("only %d of %d calls were set up", stood, len(calls))
+	}
 	s.b.say("%d calls were released by their client, %d of them are left standing at their office", stood, left)
-	return left == 0 && stood > 0
+	return left == 0
 }
--- a/review/rig2/upgrade.go
+++ b/review/rig2/upgrade.go
@@ -100,11 +100,13 @@
 	for _, c := range calls {
 		k := s.b.look(c)
 		if k.answered.IsZero() || len(k.attempts) == 0 {
-			s.b.say("call %x of %s: not set up (%d final answers, cause %d)", k.id, k.client, k.finals, k.cause)
-			continue
+			fail("call %x of %s was not set up (%d final answers, cause %d)", k.id, k.client, k.finals, k.cause)
 		}
 		at := k.attempts[len(k.attempts)-1]
-		late := !at.over.IsZero() && (k.told.IsZero() || k.told.Sub(at.over) > within)
+		if at.over.IsZero() {
+			fail("call %x of %s has not ended", k.id, k.client)
+		}
+		late := k.told.IsZero() || k.told.Sub(at.over) > within
 		word := ""
 		if late {
 			ok, word = false, ": late, or left standing"
