Leave calls at their office once a process that ends has disconnected their client

Cause: clients are disconnected 0.85 s after SIGTERM, and the process went on judging offices until its end.

Change: delivery.Responsibility, a module without I/O, decides until when a process answers for a call. Doubt and inferences release a call only while its client can be connected to this process; a refused connect, which proves that the office's process has ended, always does. The disconnecting of clients and the window for calls of before ask the same module.

--- /dev/null
+++ b/internal/delivery/responsibility_test.go
@@ -0,0 +1,47 @@
+package delivery
+
+import "testing"
+
+const second = 1_000 * millisecond
+
+// closedConnection returns a connection that has ended.
+func closedConnection() *Connection {
+	conn := (&Log{}).Open(0)
+	(&Log{}).Close(&conn, true, 0)
+	return &conn
+}
+
+// Guards against a process that shuts down and releases calls whose clients it has disconnected, so that nobody tells
+// them, and against one that leaves calls at an office in doubt standing while their clients are still connected.
+func TestReleaseOnEvidenceByClient(t *testing.T) {
+	const shutdown = 100 * second
+	opened := (&Log{}).Open(0)
+	connected, disconnected := &opened, closedConnection()
+	for _, c := range []struct {
+		name     string
+		setUpOn  *Connection
+		evidence Evidence
+		at       int64 // since the shutdown; negative: before it
+		released bool
+	}{
+		{"doubt while serving", connected, Doubt, -second, false},
+		{"inference while serving", connected, Inferred, -second, true},
+		{"inference while serving, client away", disconnected, Inferred, -second, true},
+		{"doubt as the shutdown begins", connected, Doubt, 0, false},
+		{"doubt just before clients are disconnected", connected, Doubt, 820 * millisecond, true},
+		{"doubt just before, client away", disconnected, Doubt, 820 * millisecond, true},
+		{"doubt afterwards, client still connected", connected, Doubt, 2 * second, true},
+		{"doubt afterwards, client disconnected", disconnected, Doubt, 2 * second, false},
+		{"inference afterwards, client still connected", connected, Inferred, 2 * second, true},
+		{"inference afterwards, client disconnected", disconnected, Inferred, 2 * second, false},
+		{"process ended, client disconnected", disconnected, ProcessEnded, 2 * second, true},
+	} {
+		r := NewResponsibility(0)
+		if c.at >= 0 {
+			r.ShutDown(shutdown)
+		}
+		if released := r.MayRelease(c.setUpOn, c.evidence, shutdown+c.at); released != c.released {
+			t.Errorf("%s: released %v", c.name, released)
+		}
+	}
+}
--- a/internal/session/arrivals.go
+++ b/internal/session/arrivals.go
@@ -1,6 +1,7 @@
 package session
 
 import (
+	"pewterwheel/internal/delivery"
 	"pewterwheel/internal/membership"
 	"pewterwheel/internal/state"
 	"pewterwheel/internal/wire"
@@ -80,7 +81,8 @@
 	case Shutdown:
 		if s.shutdownSince == 0 {
 			s.shutdownSince = s.now
-			s.wheel.Set(s.shutdownSince+acceptAfterShutdown, state.Timer{Kind: state.TimerStopAccepting})
+			s.responsibility.ShutDown(s.now)
+			s.wheel.Set(s.shutdownSince+delivery.AcceptAfterShutdown, state.Timer{Kind: state.TimerStopAccepting})
 			s.wheel.Set(s.lastAnswerTime(), state.Timer{Kind: state.TimerShutdownDeadline})
 			s.log.Info("stopping", "open", s.countOpen(), "standing", len(s.established))
 		}
--- a/internal/session/drain.go
+++ b/internal/session/drain.go
@@ -10,8 +10,8 @@
 // Callers are disconnected during a drain and a shutdown. New connections still arrive for a while; then
 // each connection is closed as soon as no set-up is open on it. Where one always is, new set-ups are refused
 // until none is. During a drain a connection stays while a call that was set up on it is established, because
-// its release has to be delivered; at a shutdown another process delivers it. The times below count from the
-// start of a drain:
+// its release has to be delivered; at a shutdown the next process delivers it (delivery.Responsibility). The times below
+// count from the start of a drain:
 const (
 	// drainCloseAfter is when the first connections are closed. The load balancer checks every 0.1 s and sends
 	// callers for another 0.2 s.
@@ -34,7 +34,7 @@
 func (s *Session) drainElapsed() int64 {
 	switch {
 	case s.shutdownSince != 0:
-		return s.now - s.shutdownSince - acceptAfterShutdown
+		return s.responsibility.DisconnectingFor(s.now)
 	case s.drainingSince != 0:
 		return s.now - s.drainingSince - drainCloseAfter
 	}
--- a/internal/session/office_connections.go
+++ b/internal/session/office_connections.go
@@ -193,7 +193,7 @@
 
 // mayHaveEarlierCalls reports whether calls of the previous process may be established at an office.
 func (s *Session) mayHaveEarlierCalls(office *state.Office) bool {
-	return s.now-s.earlierCallSeen < earlierCallsWindow && office.Started <= s.startedAt &&
+	return s.responsibility.ExpectsEarlierCalls(s.now) && office.Started <= s.startedAt &&
 		len(s.offices.All()) <= s.maxEagerOffices
 }
 
--- a/internal/session/office_liveness.go
+++ b/internal/session/office_liveness.go
@@ -6,6 +6,7 @@
 	"log/slog"
 
 	"pewterwheel/decide"
+	"pewterwheel/internal/delivery"
 	"pewterwheel/internal/liveness"
 	"pewterwheel/internal/state"
 	"pewterwheel/internal/wire"
@@ -166,15 +167,34 @@
 	if office.Liveness.WantsTrial(s.now) {
 		s.queueEvent(decide.Event{Kind: decide.TrialRequested, Server: office.ID})
 	}
-	if s.nearDeparture() {
+	if s.doubtSufficesAt(office) {
 		s.judgeDeparting(office)
 	}
 }
 
-// nearDeparture reports whether callers are about to be disconnected for good, after which releases can't be
-// delivered.
-func (s *Session) nearDeparture() bool {
-	return s.shutdownSince != 0 && s.now >= s.shutdownSince+acceptAfterShutdown-2*watchInterval
+// doubtSufficesAt reports whether mere doubt suffices to release any of the calls at an office.
+func (s *Session) doubtSufficesAt(office *state.Office) bool {
+	if s.shutdownSince == 0 {
+		return false
+	}
+	for _, established := range office.Established {
+		if s.mayRelease(established, liveness.Departing) {
+			return true
+		}
+	}
+	return false
+}
+
+// mayRelease reports whether this process may release a call for a reason.
+func (s *Session) mayRelease(established *state.EstablishedCall, reason liveness.Reason) bool {
+	evidence := delivery.Inferred
+	switch reason {
+	case liveness.Departing:
+		evidence = delivery.Doubt
+	case liveness.Refused:
+		evidence = delivery.ProcessEnded
+	}
+	return s.responsibility.MayRelease(&established.From.Delivery, evidence, s.now)
 }
 
 // judgeDeparting releases the calls at a doubtful office while their callers are still connected.
@@ -259,7 +279,7 @@
 	if s.journal.conn == nil {
 		list.LastUnreachable = s.now
 	}
-	restart, ended := office.Liveness.Restarted(s.now, list, countEstablished(office), s.nearDeparture())
+	restart, ended := office.Liveness.Restarted(s.now, list, countEstablished(office), s.doubtSufficesAt(office))
 	if !ended {
 		return
 	}
@@ -361,8 +381,12 @@
 	return n
 }
 
-// releaseForOffice releases a call to its caller and, if the office is connected, at the office.
+// releaseForOffice releases a call to its caller and, if the office is connected, at the office, unless the caller can't
+// be told any more.
 func (s *Session) releaseForOffice(office *state.Office, established *state.EstablishedCall, reason liveness.Reason) {
+	if !s.mayRelease(established, reason) {
+		return
+	}
 	call, officeConn := established.ID, established.OfficeConn
 	s.log.Info("releasing call because its office cannot end it", "call", formatCallID(call), "office", office.ID,
 		"reason", reason.String(),
--- a/internal/session/offices.go
+++ b/internal/session/offices.go
@@ -237,7 +237,7 @@
 			s.Counters[state.InvalidIn]++
 			return
 		}
-		s.earlierCallSeen = s.now
+		s.responsibility.EarlierCallSeen(s.now)
 		s.releaseToCaller(releaseBy(officeConn, message), nil) // a call of a previous process
 	}
 	s.endedCalls[message.Call] = s.now
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -84,10 +84,6 @@
 	// reachable, and what it releases on a connection that ends, and then on the next one, has to arrive
 	// within a second.
 	maxReopenDelay = 250_000
-	// earlierCallsWindow is how long after its start, and after the last end of a previous process's call,
-	// this process expects further ones. Meanwhile it reconnects to all offices, because their releases arrive
-	// on the next connection.
-	earlierCallsWindow = 10_000_000
 	// maxEagerOffices offices are connected to as soon as they are listed, fewer if descriptors are short.
 	// With a longer list each is connected to at its first set-up, to avoid thousands of simultaneous connects
 	// of which most are never needed.
@@ -101,9 +97,6 @@
 	releaseRepeatDelay = 1_000_000
 	// unreadAnswerTimeout is how long a caller may leave what was written to it unread before it counts as vanished.
 	unreadAnswerTimeout = 6_000_000
-	// acceptAfterShutdown is how long after SIGTERM connections (0.4 s) and set-ups on them (another 0.2 s) may
-	// still arrive.
-	acceptAfterShutdown = 850_000
 	// SIGKILL comes no sooner after SIGTERM than the longest deadline, counted as at most maxCountedDeadline,
 	// plus killDelay. Every call gets its final answer killMargin before that.
 	maxCountedDeadline, killDelay, killMargin = 3_000_000, 700_000, 200_000
@@ -186,6 +179,8 @@
 	calls         map[uint64]*state.Call
 	established   map[uint64]*state.EstablishedCall
 	releases      delivery.Log // releases towards callers
+	// until when this process tells callers of the ends of calls
+	responsibility delivery.Responsibility
 	// callers' releases of a previous process's calls, for later offices
 	earlierReleases map[uint64]state.PendingRelease
 	endedCalls      map[uint64]int64 // ids of ended calls, and when they ended
@@ -196,7 +191,6 @@
 	pendingRedials                             map[uint64]*state.Office     // by number of the timer
 	lastDialID                                 uint64
 	startedAt                                  int64
-	earlierCallSeen                            int64 // last sign of a previous process's call; initially the start
 	shutdownSince                              int64 // since when a shutdown lasts, which SIGTERM starts; 0: none
 	listenerClosed                             bool  // the callers' listener is closed
 	drainingSince                              int64 // since when a drain lasts; 0: none
@@ -217,8 +211,9 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	s := &Session{net: net, decider: node, log: log, now: now, lastStep: now, wheel: state.NewWheel(wheelTick, now),
-		startedAt: now, earlierCallSeen: now, answerCounts: make([]state.FinalAnswers, len(cfg.Settings.Classes)),
-		settings: cfg.Settings, classIndex: map[string]int{}, classNames: map[string]string{}, maxTries: set.MaxTries,
+		startedAt: now, responsibility: delivery.NewResponsibility(now),
+		answerCounts: make([]state.FinalAnswers, len(cfg.Settings.Classes)),
+		settings:     cfg.Settings, classIndex: map[string]int{}, classNames: map[string]string{}, maxTries: set.MaxTries,
 		maxCalls:   cfg.Settings.Limits.MaxHeld,
 		maxCallers: max(minCallers, cfg.Sockets/2), maxControlConns: controlConnLimit(cfg.Sockets),
 		descriptorLimit: cfg.Sockets - reservedDescriptors(cfg.Sockets), maxCallBytes: math.MaxInt64,
@@ -323,7 +318,7 @@
 // everything written has been read, or SIGKILL may come. Exiting while callers wait to be accepted would reset
 // their connections and lose the set-ups that they have sent.
 func (s *Session) Done() bool {
-	return s.shutdownSince != 0 && s.now >= s.shutdownSince+acceptAfterShutdown && s.countOpen() == 0 &&
+	return s.shutdownSince != 0 && s.responsibility.DisconnectingFor(s.now) >= 0 && s.countOpen() == 0 &&
 		!s.releasesPending() && (s.listenerClosed && len(s.callers) == 0 || s.now >= s.lastAnswerTime())
 }
 
