Let offices tell the next process what a process that ends can tell nobody

Cause: a process that ends disconnects clients 0.85 s after SIGTERM, but kept its connections to offices while any set-up was open; offices released calls on them, it could tell nobody and rightly did not acknowledge them, and the next process, connected for a second already, opened no further connection on which the office would have sent them again.

These are extra connections, closed after 0.3 s, at most 32 at once, so that a busy office's set-ups are not disturbed.

--- a/internal/delivery/responsibility.go
+++ b/internal/delivery/responsibility.go
@@ -7,7 +7,8 @@
 // on the next process is, to which the client connects again: the process that ends decides nothing about the call on
 // mere doubt, and leaves the office free to send the release to the next process.
 //
-// A process that has started is responsible for the calls of the one before it, most of which end soon.
+// A process that has started is responsible for the calls of the one before it. An office sends a release that could not
+// be delivered on the next connection that is opened, so each office is given one after that process has ended.
 type Responsibility struct {
 	started     int64
 	earlierSeen int64 // when the last sign of an earlier call was seen; initially the start
@@ -24,8 +25,25 @@
 	// eagerWindow is how long after the start, and after each sign of an earlier call, a lost connection to an office
 	// is opened again at once: most earlier calls end in this time.
 	eagerWindow = 10_000_000
+	// overlap is how long after the start the previous process may still be running: 6 s until this one reports ready,
+	// at most 5 s and 0.7 s until the previous one is killed, and a margin.
+	overlap = 12_000_000
+	// collectInterval is the time between connections to an office during overlap. What the office sent to the
+	// previous process, and that one did not deliver, arrives on the next connection.
+	collectInterval = 6_000_000
+	// collectUntil is how long after the start offices that have sent nothing on such a connection are given further
+	// ones.
+	collectUntil = 30_000_000
+	// collectAtLeast and collectAtMost bound how long a connection that only collects releases stays open: the
+	// releases directly follow the office's greeting.
+	collectAtLeast = 300_000
+	collectAtMost  = 2_000_000
 )
 
+// MaxCollecting bounds the connections that only collect releases, at all offices together. Each is open for a third of
+// a second, so that 510 offices have theirs within collectInterval.
+const MaxCollecting = 32
+
 // NewResponsibility returns the responsibility of a process that starts now.
 func NewResponsibility(now int64) Responsibility {
 	return Responsibility{started: now, earlierSeen: now}
@@ -87,3 +105,44 @@
 func (r *Responsibility) ExpectsEarlierCalls(now int64) bool {
 	return now-r.earlierSeen < eagerWindow && !r.handedOver(now)
 }
+
+// Contact records when an office could send what it could not deliver to a previous process. The zero value is that of
+// an office to which no connection was opened yet.
+type Contact struct {
+	opened int64 // when the last connection to it was opened on which it could send them
+	tried  int64 // when the last connection that only collects releases was requested
+}
+
+// Opened notes that the office could send its releases on a connection that was opened at the given time.
+func (c *Contact) Opened(at int64) { c.opened = max(c.opened, at) }
+
+// Tried notes that a connection that only collects releases is being opened.
+func (c *Contact) Tried(now int64) { c.tried = now }
+
+// ContactKind is what is to be done so that an office can send the releases of earlier calls.
+type ContactKind int
+
+// Kinds of contact.
+const (
+	NoContact ContactKind = iota // nothing
+	Collect                      // open another connection beside it, until the office has sent what it could not deliver
+)
+
+// ContactDue returns what is to be done now for the earlier calls at an office that has been running since before the
+// start of this process. Once the process is asked to shut down nothing is: what it collected it might not deliver.
+func (r *Responsibility) ContactDue(office Contact, connected bool, now int64) ContactKind {
+	switch {
+	case r.shutdown != 0:
+		return NoContact
+	case connected && office.opened < r.started+overlap && now < r.started+collectUntil &&
+		now-max(office.opened, office.tried) >= collectInterval:
+		return Collect
+	}
+	return NoContact
+}
+
+// Collected reports whether a connection that only collects releases may be closed. received reports whether the office
+// has sent anything on it.
+func Collected(opened int64, received bool, now int64) bool {
+	return received && now-opened >= collectAtLeast || now-opened >= collectAtMost
+}
--- a/internal/delivery/responsibility_test.go
+++ b/internal/delivery/responsibility_test.go
@@ -45,3 +45,32 @@
 		}
 	}
 }
+
+// Guards against an office that gets no connection after the previous process has ended, on which it would repeat the
+// ends that it had sent to that process.
+func TestContactWithOfficesOfEarlierCalls(t *testing.T) {
+	r := NewResponsibility(0)
+	for _, c := range []struct {
+		name      string
+		office    Contact
+		connected bool
+		at        int64
+		due       ContactKind
+	}{
+		{"connected at the start", Contact{opened: millisecond}, true, 5 * second, NoContact},
+		{"connected before the previous process ended", Contact{opened: millisecond}, true, 7 * second, Collect},
+		{"still so", Contact{opened: 7 * second}, true, 13 * second, Collect},
+		{"connected since", Contact{opened: 13 * second}, true, 25 * second, NoContact},
+		{"connection that brought nothing", Contact{opened: second, tried: 10 * second}, true, 15 * second, NoContact},
+		{"again", Contact{opened: second, tried: 10 * second}, true, 16 * second, Collect},
+		{"no more", Contact{opened: second, tried: 22 * second}, true, 31 * second, NoContact},
+	} {
+		if due := r.ContactDue(c.office, c.connected, c.at); due != c.due {
+			t.Errorf("%s: contact %d is due, not %d", c.name, due, c.due)
+		}
+	}
+	r.ShutDown(30 * second)
+	if r.ContactDue(Contact{}, false, 60*second) != NoContact {
+		t.Error("a process that shuts down takes releases which it may not deliver")
+	}
+}
--- a/internal/session/exchange_test.go
+++ b/internal/session/exchange_test.go
@@ -135,7 +135,9 @@
 	case "short":
 		arrival.Err = fmt.Errorf("socket: %w", syscall.EMFILE)
 	default:
-		if p.s != nil && p.s.dials[id] != nil && p.s.dials[id].Number != 0 {
+		if p.s != nil && p.s.dials[id] != nil && p.s.dials[id].Number == collectorNumber {
+			name += ".collector"
+		} else if p.s != nil && p.s.dials[id] != nil && p.s.dials[id].Number != 0 {
 			name = fmt.Sprintf("%s.%d", name, p.s.dials[id].Number)
 		}
 		conn := &fakeConn{p: p, name: name}
--- a/internal/session/office_connections.go
+++ b/internal/session/office_connections.go
@@ -47,10 +47,14 @@
 		_ = conn.Close() // nothing was written to it
 		s.failQueued(officeConn)
 		s.removePooledConn(officeConn)
+		s.removeCollector(officeConn)
 		return
 	}
 	officeConn.Conn = conn
 	officeConn.Received.Begin(s.now)
+	if officeConn != office.Collector { // an office that hangs has told nothing on it yet
+		office.Contact.Opened(s.now)
+	}
 	s.connOwners[conn] = officeConn
 	if officeConn.Number == 0 {
 		s.repeatPendingReleases(officeConn)
@@ -69,6 +73,7 @@
 	s.failQueued(officeConn)
 	if officeConn.Number != 0 {
 		s.removePooledConn(officeConn)
+		s.removeCollector(officeConn)
 		return
 	}
 	office.ConnectFailed = true
@@ -100,7 +105,7 @@
 	officeConn.Conn, officeConn.Buffer = nil, nil
 	s.writeOffice(officeConn) // discards the outbox and marks its attempts as not sent
 	level := slog.LevelWarn
-	if errors.Is(err, errIdle) {
+	if errors.Is(err, errIdle) || errors.Is(err, errCollected) || errors.Is(err, errDrained) {
 		level = slog.LevelDebug
 	}
 	s.officeConnLogger(officeConn).Log(context.Background(), level, "office connection ended", "office", office.ID,
@@ -131,6 +136,7 @@
 	if s.pooled.connSelector != nil {
 		s.officeConnLost(officeConn)
 	}
+	s.removeCollector(officeConn)
 	if officeConn.Number == 0 {
 		office.Liveness.ConnectionLost(s.now, liveness.LostConnection{Opened: officeConn.Received.Opened,
 			Unanswered: unanswered})
@@ -185,7 +191,7 @@
 // redialIfNeeded reconnects if calls are established at an office, also those of a previous process, or
 // releases are pending. Otherwise the next set-up does.
 func (s *Session) redialIfNeeded(office *state.Office) {
-	needed := len(office.Established) > 0 || len(office.PendingReleases) > 0 || s.mayHaveEarlierCalls(office)
+	needed := len(office.PendingReleases) > 0 || s.canTellAny(office) || s.mayHaveEarlierCalls(office)
 	if office.State != decide.Removed && needed && s.now >= office.NextDial {
 		s.connect(&office.OfficeConn)
 	}
@@ -219,6 +225,9 @@
 	for _, officeConn := range slices.Clone(office.Pooled) {
 		s.endOfficeConn(officeConn, startedBefore)
 	}
+	if office.Collector != nil {
+		s.endOfficeConn(office.Collector, startedBefore)
+	}
 	s.endOfficeConn(&office.OfficeConn, startedBefore)
 }
 
@@ -246,4 +255,5 @@
 	}
 	s.failQueued(officeConn)
 	s.removePooledConn(officeConn)
+	s.removeCollector(officeConn)
 }
--- a/internal/session/office_liveness.go
+++ b/internal/session/office_liveness.go
@@ -109,6 +109,9 @@
 
 // recordOfficeMessage records a complete message of an office.
 func (s *Session) recordOfficeMessage(officeConn *state.OfficeConn, message wire.Message, at int64) {
+	if officeConn.Number == collectorNumber && message.Type == wire.TypeGroup {
+		return // the greeting shows only that the office still accepts connections
+	}
 	record := liveness.Message{At: s.earliestWriteTime(at), Kind: s.messageKind(officeConn, message),
 		OnMain: officeConn.Number == 0, Opened: officeConn.Received.Opened}
 	if record.Kind == liveness.Answer {
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -163,6 +163,7 @@
 	callBytes       int64
 	maxCallers      int
 	maxControlConns int
+	sockets         int // all descriptors
 	descriptorLimit int // descriptors for callers and offices together
 	maxEagerOffices int
 	fullSince       int64 // since when no new caller can be accepted; 0: one can
@@ -181,6 +182,7 @@
 	releases      delivery.Log // releases towards callers
 	// until when this process tells callers of the ends of calls
 	responsibility delivery.Responsibility
+	collectors     int // offices' connections that only collect releases
 	// callers' releases of a previous process's calls, for later offices
 	earlierReleases map[uint64]state.PendingRelease
 	endedCalls      map[uint64]int64 // ids of ended calls, and when they ended
@@ -216,7 +218,7 @@
 		settings:     cfg.Settings, classIndex: map[string]int{}, classNames: map[string]string{}, maxTries: set.MaxTries,
 		maxCalls:   cfg.Settings.Limits.MaxHeld,
 		maxCallers: max(minCallers, cfg.Sockets/2), maxControlConns: controlConnLimit(cfg.Sockets),
-		descriptorLimit: cfg.Sockets - reservedDescriptors(cfg.Sockets), maxCallBytes: math.MaxInt64,
+		sockets: cfg.Sockets, descriptorLimit: cfg.Sockets - reservedDescriptors(cfg.Sockets), maxCallBytes: math.MaxInt64,
 		dialTimeout: cfg.Settings.DialLimit().Microseconds(),
 		connOwners:  map[state.Conn]any{}, calls: map[uint64]*state.Call{},
 		established:     map[uint64]*state.EstablishedCall{},
--- a/internal/session/timers.go
+++ b/internal/session/timers.go
@@ -44,9 +44,11 @@
 		s.wheel.Set(s.now+journalCheckInterval, timer)
 	case state.TimerIncomplete:
 		s.checkOffices()
+		s.contactOffices()
 		s.checkCallers()
 		s.checkControlConns()
 		s.closeDrainedCallers()
+		s.leaveOffices()
 		s.wheel.Set(s.now+watchInterval, timer)
 	case state.TimerConnWait:
 		s.refuseWaiting(timer.ID, int(timer.N))
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -245,6 +245,8 @@
 	Liveness        liveness.Office             // whether it can still end its calls
 	Established     map[uint64]*EstablishedCall // calls established there
 	PendingReleases map[uint64]PendingRelease   // pending releases to the office
+	Contact         delivery.Contact            // when it could send the releases of a previous process's calls
+	Collector       *OfficeConn                 // connection that only collects such releases; nil: none
 	UnknownReleases int                         // number of releases of unknown calls it has sent since the last sweep
 
 	// The following fields are used only where calls are assigned to pooled connections.
@@ -257,6 +259,9 @@
 
 // OpenConn returns the open connection with a number, or the main connection if that one has ended.
 func (o *Office) OpenConn(number uint32) *OfficeConn {
+	if o.Collector != nil && o.Collector.Number == number && o.Collector.Conn != nil {
+		return o.Collector
+	}
 	for _, pooled := range o.Pooled {
 		if pooled.Number == number && pooled.Conn != nil {
 			return pooled
@@ -330,6 +335,7 @@
 	l.inOrder = slices.DeleteFunc(l.inOrder, func(o *Office) bool {
 		empty := o.State == decide.Removed && o.Conn == nil && o.DialID == 0 && len(o.Outstanding) == 0 &&
 			len(o.Queue) == 0 && len(o.Established) == 0 && len(o.Pooled) == 0 &&
+			o.Collector == nil &&
 			(o.Overflow == nil || len(o.Overflow.Queue) == 0)
 		if empty {
 			delete(l.byID, o.ID)
