Keep offices that may hold a previous process's calls connected, however long

Cause: offices close idle connections, and a process opened them again for 10 s after its start, or after the last such end, alone.

Change, decided by delivery.Responsibility: after these 10 s an office that runs since before the start gets a connection when it has had none for 5.5 s (8 s are allowed), until it reports no line in use on a connection opened after the previous process must have ended.

--- a/internal/delivery/responsibility.go
+++ b/internal/delivery/responsibility.go
@@ -7,8 +7,9 @@
 // on the next process is, to which the client connects again: the process that ends decides nothing about the call on
 // mere doubt, and leaves the office free to send the release to the next process.
 //
-// A process that has started is responsible for the calls of the one before it. An office sends a release that could not
-// be delivered on the next connection that is opened, so each office is given one after that process has ended.
+// A process that has started is responsible for earlier calls at an office until the office shows that it holds none,
+// because nothing bounds how long a call lasts. An office sends a release that could not be delivered on the next
+// connection that is opened, so each office is given one often enough.
 type Responsibility struct {
 	started     int64
 	earlierSeen int64 // when the last sign of an earlier call was seen; initially the start
@@ -25,6 +26,9 @@
 	// eagerWindow is how long after the start, and after each sign of an earlier call, a lost connection to an office
 	// is opened again at once: most earlier calls end in this time.
 	eagerWindow = 10_000_000
+	// reconnectAfter is how long an office may be without a connection after eagerWindow. A release that could not be
+	// sent is due 8 s after the end of its call; the rest is for many offices at once, a slow connect, and the client.
+	reconnectAfter = 5_500_000
 	// overlap is how long after the start the previous process may still be running: 6 s until this one reports ready,
 	// at most 5 s and 0.7 s until the previous one is killed, and a margin.
 	overlap = 12_000_000
@@ -109,8 +113,10 @@
 // Contact records when an office could send what it could not deliver to a previous process. The zero value is that of
 // an office to which no connection was opened yet.
 type Contact struct {
-	opened int64 // when the last connection to it was opened on which it could send them
-	tried  int64 // when the last connection that only collects releases was requested
+	opened         int64 // when the last connection to it was opened on which it could send them
+	tried          int64 // when the last connection that only collects releases was requested
+	lost           int64 // when the last connection was lost, or failed to open; 0: never
+	noEarlierCalls bool  // the office has shown that it holds no earlier call
 }
 
 // Opened notes that the office could send its releases on a connection that was opened at the given time.
@@ -119,12 +125,16 @@
 // Tried notes that a connection that only collects releases is being opened.
 func (c *Contact) Tried(now int64) { c.tried = now }
 
+// Lost notes that no connection to the office is open any more, or that none could be opened.
+func (c *Contact) Lost(now int64) { c.lost = now }
+
 // ContactKind is what is to be done so that an office can send the releases of earlier calls.
 type ContactKind int
 
 // Kinds of contact.
 const (
 	NoContact ContactKind = iota // nothing
+	Reconnect                    // open a connection: there is none
 	Collect                      // open another connection beside it, until the office has sent what it could not deliver
 )
 
@@ -132,8 +142,10 @@
 // start of this process. Once the process is asked to shut down nothing is: what it collected it might not deliver.
 func (r *Responsibility) ContactDue(office Contact, connected bool, now int64) ContactKind {
 	switch {
-	case r.shutdown != 0:
+	case r.shutdown != 0 || office.noEarlierCalls:
 		return NoContact
+	case !connected && (office.lost == 0 || now-office.lost >= reconnectAfter):
+		return Reconnect
 	case connected && office.opened < r.started+overlap && now < r.started+collectUntil &&
 		now-max(office.opened, office.tried) >= collectInterval:
 		return Collect
@@ -141,6 +153,15 @@
 	return NoContact
 }
 
+// LinesInUse notes that an office reports how many of its lines calls of all controllers use, on a connection opened at
+// the given time. Where none is in use, and the previous process had ended before that time, no earlier call is left: the
+// office's undelivered releases came with the connection.
+func (r *Responsibility) LinesInUse(office *Contact, lines int, connectionOpened int64) {
+	if lines == 0 && connectionOpened >= r.started+overlap {
+		office.noEarlierCalls = true
+	}
+}
+
 // Collected reports whether a connection that only collects releases may be closed. received reports whether the office
 // has sent anything on it.
 func Collected(opened int64, received bool, now int64) bool {
--- a/internal/delivery/responsibility_test.go
+++ b/internal/delivery/responsibility_test.go
@@ -46,9 +46,10 @@
 	}
 }
 
-// Guards against an office that gets no connection after the previous process has ended, on which it would repeat the
-// ends that it had sent to that process.
+// Guards against an office that gets no connection on which it could send the end of a call of a previous process,
+// however long that call lasts, and against connects without end where no such call is left.
 func TestContactWithOfficesOfEarlierCalls(t *testing.T) {
+	const hour = 3_600 * second
 	r := NewResponsibility(0)
 	for _, c := range []struct {
 		name      string
@@ -57,6 +58,10 @@
 		at        int64
 		due       ContactKind
 	}{
+		{"just lost", Contact{opened: second, lost: 20 * second}, false, 21 * second, NoContact},
+		{"lost for long", Contact{opened: second, lost: 20 * second}, false, 26 * second, Reconnect},
+		{"after an hour", Contact{opened: second, lost: hour}, false, hour + 6*second, Reconnect},
+		{"never connected", Contact{}, false, second, Reconnect},
 		{"connected at the start", Contact{opened: millisecond}, true, 5 * second, NoContact},
 		{"connected before the previous process ended", Contact{opened: millisecond}, true, 7 * second, Collect},
 		{"still so", Contact{opened: 7 * second}, true, 13 * second, Collect},
@@ -64,6 +69,7 @@
 		{"connection that brought nothing", Contact{opened: second, tried: 10 * second}, true, 15 * second, NoContact},
 		{"again", Contact{opened: second, tried: 10 * second}, true, 16 * second, Collect},
 		{"no more", Contact{opened: second, tried: 22 * second}, true, 31 * second, NoContact},
+		{"shown to hold none", Contact{lost: 20 * second, noEarlierCalls: true}, false, hour, NoContact},
 	} {
 		if due := r.ContactDue(c.office, c.connected, c.at); due != c.due {
 			t.Errorf("%s: contact %d is due, not %d", c.name, due, c.due)
@@ -74,3 +80,23 @@
 		t.Error("a process that shuts down takes releases which it may not deliver")
 	}
 }
+
+// Guards against a report of free lines that is taken to cover calls of a previous process which still ran.
+func TestFreeLinesShowThatNoEarlierCallIsLeft(t *testing.T) {
+	for _, c := range []struct {
+		name             string
+		lines            int
+		connectionOpened int64
+		none             bool
+	}{
+		{"lines in use", 1, 20 * second, false},
+		{"previous process may run", 0, 11 * second, false},
+		{"none in use since", 0, 13 * second, true},
+	} {
+		r, office := NewResponsibility(0), Contact{}
+		r.LinesInUse(&office, c.lines, c.connectionOpened)
+		if office.noEarlierCalls != c.none {
+			t.Errorf("%s: shown %v", c.name, office.noEarlierCalls)
+		}
+	}
+}
--- a/internal/session/arrivals.go
+++ b/internal/session/arrivals.go
@@ -57,6 +57,7 @@
 				s.handleCallerMessage(role, message, arrival.At)
 			})
 		case *state.OfficeConn:
+			role.ReceivedAny = true
 			if role.Received.LastReceived = s.now; len(role.Buffer) == 0 {
 				role.PartialSince = s.now
 			}
--- a/internal/session/collect_releases.go
+++ b/internal/session/collect_releases.go
@@ -21,40 +21,58 @@
 // contactOffices opens the connections on which offices can send the releases of a previous process's calls, as
 // s.responsibility decides, and closes those that have served for that.
 func (s *Session) contactOffices() {
-	eligible, opened := len(s.offices.All()) <= s.maxEagerOffices, 0
-	for _, office := range s.offices.All() {
+	s.maxCollectors, s.contacts = s.collectorLimit(), 0
+	offices, first := s.offices.All(), s.nextContact
+	for i := range offices {
+		index := (first + i) % len(offices)
+		office, before := offices[index], s.contacts
 		if office.Collector != nil {
 			s.closeCollected(office.Collector)
 		}
-		if eligible && opened < maxContactsPerCheck && s.contactOffice(office) {
-			opened++
+		if s.contacts < maxContactsPerCheck {
+			s.contactOffice(office)
+		}
+		if s.contacts > before { // the others come first in the next check
+			s.nextContact = index + 1
 		}
 	}
 }
 
-// contactOffice opens a connection to an office if one is due, and reports whether it did.
-func (s *Session) contactOffice(office *state.Office) bool {
-	if office.State == decide.Removed || office.Started > s.startedAt || office.DialID != 0 || office.Collector != nil {
-		return false
+// contactOffice opens a connection to an office if one is due. If there are descriptors for a connection to each office it
+// stays open until the office closes it.
+func (s *Session) contactOffice(office *state.Office) {
+	if office.State == decide.Removed || office.Started > s.startedAt || office.DialID != 0 || office.Collector != nil ||
+		s.now < office.NextDial {
+		return
 	}
-	switch s.responsibility.ContactDue(office.Contact, office.Conn != nil, s.now) {
-	case delivery.Collect:
-		if s.collectors < s.maxCollectors() {
-			office.Collector = &state.OfficeConn{To: office, Number: collectorNumber,
-				Outstanding: map[uint64]*state.Attempt{}}
-			s.collectors++
-			office.Contact.Tried(s.now)
-			s.connect(office.Collector)
-			return true
-		}
+	due := s.responsibility.ContactDue(office.Contact, office.Conn != nil, s.now)
+	switch {
+	case due == delivery.Reconnect && len(s.offices.All()) <= s.maxEagerOffices:
+		s.contacts++
+		s.connect(&office.OfficeConn)
+	case due != delivery.NoContact && s.collectors < s.maxCollectors:
+		s.contacts++
+		s.openCollector(office)
 	}
-	return false
 }
 
-// maxCollectors returns how many collectors may be open at present. The descriptors that callers may hold by the
+// openCollector opens a connection to an office that only collects releases.
+func (s *Session) openCollector(office *state.Office) {
+	office.Collector = &state.OfficeConn{To: office, Number: collectorNumber, Outstanding: map[uint64]*state.Attempt{}}
+	s.collectors++
+	office.Contact.Tried(s.now)
+	s.connect(office.Collector)
+}
+
+// collectorLimit returns how many collectors may be open at present. The descriptors that callers may hold by the
 // protocol are left to them.
-func (s *Session) maxCollectors() int {
-	spare := s.descriptorLimit - len(s.offices.All()) - s.pooled.count - s.sockets/callerReserveDivisor
+func (s *Session) collectorLimit() int {
+	spare := s.descriptorLimit - s.sockets/callerReserveDivisor - s.pooled.count
+	for _, office := range s.offices.All() {
+		if office.Conn != nil || office.DialID != 0 {
+			spare--
+		}
+	}
 	return max(1, min(delivery.MaxCollecting, spare))
 }
 
@@ -64,20 +82,24 @@
 		s.now-collector.PartialSince < officeMessageTimeout {
 		return
 	}
-	received := collector.Received.LastReceived > collector.Received.Opened
-	if received {
+	if collector.ReceivedAny {
 		collector.To.Contact.Opened(collector.Received.Opened)
 	}
-	if delivery.Collected(collector.Received.Opened, received, s.now) {
+	if delivery.Collected(collector.Received.Opened, collector.ReceivedAny, s.now) {
 		s.closeConn(collector.Conn, errCollected)
 	}
 }
 
 // removeCollector forgets an office's collector that has ended or failed to open.
 func (s *Session) removeCollector(officeConn *state.OfficeConn) {
-	if officeConn == officeConn.To.Collector {
-		officeConn.To.Collector = nil
-		s.collectors--
+	office := officeConn.To
+	if officeConn != office.Collector {
+		return
+	}
+	office.Collector = nil
+	s.collectors--
+	if office.Conn == nil {
+		office.Contact.Lost(s.now)
 	}
 }
 
--- a/internal/session/office_connections.go
+++ b/internal/session/office_connections.go
@@ -77,6 +77,7 @@
 		return
 	}
 	office.ConnectFailed = true
+	office.Contact.Lost(s.now)
 	office.Liveness.ConnectFailed(s.now, refusedByPeer(err))
 	s.judgeOffice(office)
 	s.scheduleRedial(office, maxRedialDelay)
@@ -138,6 +139,7 @@
 	}
 	s.removeCollector(officeConn)
 	if officeConn.Number == 0 {
+		office.Contact.Lost(s.now)
 		office.Liveness.ConnectionLost(s.now, liveness.LostConnection{Opened: officeConn.Received.Opened,
 			Unanswered: unanswered})
 	}
@@ -197,7 +199,8 @@
 	}
 }
 
-// mayHaveEarlierCalls reports whether calls of the previous process may be established at an office.
+// mayHaveEarlierCalls reports whether calls of the previous process are likely enough at an office to connect to it at
+// once. Later contactOffices does.
 func (s *Session) mayHaveEarlierCalls(office *state.Office) bool {
 	return s.responsibility.ExpectsEarlierCalls(s.now) && office.Started <= s.startedAt &&
 		len(s.offices.All()) <= s.maxEagerOffices
--- a/internal/session/offices.go
+++ b/internal/session/offices.go
@@ -102,6 +102,7 @@
 			break // the report also arrives on the main connection
 		}
 		if lines, reported := message.LinesInUse(); reported {
+			s.responsibility.LinesInUse(&officeConn.To.Contact, lines, officeConn.Received.Opened)
 			officeConn.To.Liveness.LinesInUse(at, lines, countEstablished(officeConn.To))
 		}
 		s.queueEvent(decide.Event{Kind: decide.ServerReport, Server: officeConn.To.ID, Outcome: decide.OK,
--- a/internal/session/responsibility_test.go
+++ b/internal/session/responsibility_test.go
@@ -1,12 +1,21 @@
 package session
 
 import (
+	"encoding/json"
 	"fmt"
+	"io"
+	"log/slog"
 	"slices"
 	"strings"
 	"testing"
+
+	"pewterwheel/internal/delivery"
+	"pewterwheel/internal/membership"
+	"pewterwheel/internal/wire"
 )
 
+const second = 1_000_000
+
 // establish sets calls up at the first office for the connection a.
 func (p *player) establish(ms int, calls ...int) {
 	p.play(fmt.Sprintf("%d a open", ms))
@@ -105,3 +114,169 @@
 		t.Error("a connection that only collects releases is left open")
 	}
 }
+
+// Guards against the end of a call of the previous process at an office that closes idle connections: it was told to
+// nobody once the process had run for 10 s, because no connection was opened any more (review/7).
+func TestQuietOfficeTellsOfEarlierCallsHoweverLongTheyLast(t *testing.T) {
+	for _, end := range []int{14_000, 75_000, 3_600_000} {
+		p := newPlayer(t)
+		undelivered := false
+		p.greeting = func(conn *fakeConn) []byte {
+			data := parse(t, `[2b 0000000000000000 2b["free:7;size:9"]]`)
+			if undelivered && strings.HasPrefix(conn.name, "o1") {
+				undelivered = false
+				data = append(data, parse(t, cancelMessage(0xe1))...)
+			}
+			return data
+		}
+		p.step()
+		p.establish(100, 0xa1)
+		p.play("120 a > " + cancelMessage(0xa1))
+		for ms := 5_000; ms < end; ms += 5_000 {
+			closeIdle(p, ms, 5*second)
+		}
+		p.until(int64(end) * 1000)
+		undelivered = p.conns["o1"].closed
+		if !undelivered {
+			p.play(fmt.Sprintf("%d o1 > %s", end, cancelMessage(0xe1)))
+		}
+		p.until(int64(end+9_000) * 1000)
+		if told := p.toldAt("a", "e1"); told < 0 || told > end+8_050 {
+			t.Errorf("the end at %d ms was told at %d", end, told)
+		}
+	}
+}
+
+// closeIdle lets the first office close its connection if that has been open for a time.
+func closeIdle(p *player, ms int, idle int64) {
+	p.until(int64(ms) * 1000)
+	conn := p.mainConn("s-00000001")
+	if conn.Conn != nil && p.now-conn.Received.Opened >= idle {
+		p.play(fmt.Sprintf("%d o1 close", ms))
+	}
+}
+
+// manyOffices is a network of offices that accept every connection, greet, and close it after a while.
+type manyOffices struct {
+	t          *testing.T
+	now        int64
+	pending    []Arrival
+	open       map[*countedConn]string // the address
+	lost       map[string]int64        // since when an address has no connection; 0: it has one
+	connects   map[int64]int           // by second
+	mostOpen   int
+	longestGap int64 // without a connection
+}
+
+type countedConn struct {
+	network *manyOffices
+	opened  int64
+}
+
+func (c *countedConn) Pending() bool               { return false }
+func (c *countedConn) Unread() bool                { return false }
+func (c *countedConn) Unsent() bool                { return false }
+func (c *countedConn) PeerClosed() bool            { return false }
+func (c *countedConn) MarkTrusted()                {}
+func (c *countedConn) Write(b []byte) (int, error) { return len(b), nil }
+
+func (c *countedConn) Close() error {
+	c.network.ended(c)
+	return nil
+}
+
+func (m *manyOffices) StopAccepting() {}
+
+func (m *manyOffices) Dial(address string, id uint64) {
+	if address == "journal" {
+		return
+	}
+	conn := &countedConn{network: m, opened: m.now}
+	m.open[conn] = address
+	m.mostOpen = max(m.mostOpen, len(m.open))
+	m.connects[m.now/second]++
+	if lost := m.lost[address]; lost != 0 {
+		m.longestGap = max(m.longestGap, m.now-lost)
+	}
+	m.lost[address] = 0
+	greeting := parse(m.t, `[2b 0000000000000000 2b["free:7;size:9"]]`)
+	m.pending = append(m.pending, Arrival{Kind: Dialled, At: m.now, Dial: id, Conn: conn},
+		Arrival{Kind: Data, At: m.now, Conn: conn, Data: greeting})
+}
+
+func (m *manyOffices) ended(conn *countedConn) {
+	address, open := m.open[conn]
+	if !open {
+		return
+	}
+	delete(m.open, conn)
+	for _, other := range m.open {
+		if other == address {
+			return
+		}
+	}
+	m.lost[address] = m.now
+}
+
+// Guards against bursts and heaps of connections by which a process keeps in touch with 510 offices that close idle ones
+// after 5 s, and against an office that is left without one for over 8 s, also where descriptors are too few for all.
+func TestContactWithManyOfficesIsBounded(t *testing.T) {
+	const offices = 510
+	for sockets, mostOpen := range map[int]int{1024: offices + delivery.MaxCollecting, 256: delivery.MaxCollecting} {
+		network := playManyOffices(t, offices, sockets)
+		if network.longestGap == 0 || network.longestGap > 8*second {
+			t.Errorf("%d descriptors: an office was without a connection for %d ms", sockets, network.longestGap/1000)
+		}
+		for at, connects := range network.connects {
+			// before, offices are connected to again at once
+			if most := maxContactsPerCheck * second / watchInterval; at >= 11 && connects > most {
+				t.Errorf("%d descriptors: %d connects in a second, over %d", sockets, connects, most)
+			}
+		}
+		if network.mostOpen > mostOpen {
+			t.Errorf("%d descriptors: %d connections to %d offices", sockets, network.mostOpen, offices)
+		}
+	}
+}
+
+// playManyOffices plays a minute of a process without callers.
+func playManyOffices(t *testing.T, offices, sockets int) *manyOffices {
+	const idle, length = 5 * second, 60 * second
+	network := &manyOffices{t: t, open: map[*countedConn]string{}, lost: map[string]int64{}, connects: map[int64]int{}}
+	var known wire.Known
+	var hosts []string
+	for n := range offices {
+		hosts = append(hosts, fmt.Sprintf(`{"host":"s-%08x","dial":"127.0.1.1:%d","site":"lisboa","block":%d,"health":"SERVING","share":1}`,
+			n+1, 2000+n, n%2))
+	}
+	cfg := Config{Sockets: sockets, Seed: 7}
+	list := fmt.Sprintf(`{"pos":1,"entries":[{"pos":1,"hosts":{"seq":1,"whole":true,"hosts":[%s]}}]}`, strings.Join(hosts, ","))
+	for text, into := range map[string]any{settings: &cfg.Settings, list: &known} {
+		if err := json.Unmarshal([]byte(text), into); err != nil {
+			t.Fatal(err)
+		}
+	}
+	cfg.Source = membership.NewJournal("journal", known, cfg.Settings.Zones)
+	s, err := New(cfg, network, slog.New(slog.DiscardHandler), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for network.now < length {
+		arrivals := network.pending
+		network.pending = nil
+		for conn := range network.open {
+			if network.now-conn.opened >= idle {
+				arrivals = append(arrivals, Arrival{Kind: Closed, At: network.now, Conn: conn, Err: io.EOF})
+				network.ended(conn)
+			}
+		}
+		s.Step(network.now, arrivals)
+		network.now += watchInterval
+	}
+	for _, lost := range network.lost {
+		if lost != 0 {
+			network.longestGap = max(network.longestGap, network.now-lost)
+		}
+	}
+	return network
+}
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -183,6 +183,9 @@
 	// until when this process tells callers of the ends of calls
 	responsibility delivery.Responsibility
 	collectors     int // offices' connections that only collect releases
+	maxCollectors  int // at present
+	contacts       int // connections opened in this check for the calls of a previous process
+	nextContact    int // index of the office that is looked at first in the next check
 	// callers' releases of a previous process's calls, for later offices
 	earlierReleases map[uint64]state.PendingRelease
 	endedCalls      map[uint64]int64 // ids of ended calls, and when they ended
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -215,6 +215,7 @@
 	Received     liveness.Connection // what was received on it, and when
 	DialID       uint64              // the current dial; 0: none
 	Buffer       []byte
+	ReceivedAny  bool                // something was received on it
 	PartialSince int64               // since when Buffer holds an incomplete message
 	Outstanding  map[uint64]*Attempt // attempts that were sent and have not ended
 	Queue        []*Attempt          // attempts that wait for the connection
