Let a flood of new ids forget its own instead of every client's

Cause: the ids of ended calls were one map that was cleared whole when over 65,536 were in it.

Change: state.EndedCalls keeps two sets in generations of 32,768. Connections with usual numbers of ids share the first one, all others the second, so a flood displaces its own ids. Its size is bounded at any time, not once a second.

Measured: TestFloodOfNewIDsForgetsNoOtherClientsIDs failed before for set-ups that are given up and for releases ("the id was run again") and passes.

--- a/internal/session/caller_releases.go
+++ b/internal/session/caller_releases.go
@@ -99,6 +99,5 @@
 	if established := s.established[call]; established != nil {
 		return established.OfficeConn.To != office || established.From.Conn != nil
 	}
-	_, known := s.endedCalls[call]
-	return known && !s.releases.Retains(call)
+	return s.endedCalls.Has(call) && !s.releases.Retains(call)
 }
--- a/internal/session/callers.go
+++ b/internal/session/callers.go
@@ -204,7 +204,7 @@
 
 func (s *Session) handleSetUp(caller *state.Caller, message wire.Message, at int64) {
 	s.Counters[state.SetUpsIn]++
-	if _, over := s.endedCalls[message.Call]; over || s.calls[message.Call] != nil || s.established[message.Call] != nil {
+	if s.endedCalls.Has(message.Call) || s.calls[message.Call] != nil || s.established[message.Call] != nil {
 		// The id is already in use. An answer to this set-up could be taken for an answer to the first one, so
 		// it gets none and its connection ends. A first set-up that is open on the same connection fails with
 		// it.
@@ -302,13 +302,13 @@
 			s.observeCallerRelease(caller, message.Call)
 		}
 		s.trustCaller(caller)
-		s.endedCalls[message.Call] = s.now
+		s.endedCalls.Add(message.Call, established.From, s.now)
 		s.callDurations.EndedByCaller(established.Class, s.now-established.Since)
 		s.endEstablished(established)
 		s.releaseAtOffice(established.OfficeConn, message.Call, cause)
-	} else if _, known := s.endedCalls[message.Call]; !known {
+	} else if !s.endedCalls.Has(message.Call) {
 		// A call of a previous process: any office may hold it, and the others ignore the release.
-		s.endedCalls[message.Call] = s.now
+		s.endedCalls.Add(message.Call, caller, s.now)
 		if len(s.earlierReleases) < maxEarlierReleases {
 			s.earlierReleases[message.Call] = state.PendingRelease{Cause: cause, At: s.now}
 		}
@@ -350,7 +350,7 @@
 		s.callPool.ReturnCall(call)
 	}
 	delete(s.calls, call.ID)
-	s.endedCalls[call.ID] = s.now
+	s.endedCalls.Add(call.ID, call.From, s.now)
 	if s.pooled.connSelector != nil {
 		s.pooled.maybeOver = append(s.pooled.maybeOver, call.ID)
 	}
--- a/internal/session/exchange_test.go
+++ b/internal/session/exchange_test.go
@@ -552,15 +552,15 @@
 		p.until(p.now + 200_000)
 		office(n, 2)
 	}
-	p.until(p.now + 4*endedCallTTL)
+	p.until(p.now + 4*state.EndedCallTTL)
 	for _, caller := range slices.Clone(p.s.callers) {
 		p.step(Arrival{Kind: Closed, At: p.now, Conn: caller.Conn})
 	}
-	p.until(p.now + 2*endedCallTTL)
+	p.until(p.now + 2*state.EndedCallTTL)
 	s := p.s
 	for what, n := range map[string]int{"calls": len(s.calls), "established calls": len(s.established),
 		"retained releases": s.releases.Len(),
-		"remembered ids":    len(s.endedCalls), "bytes": int(s.callBytes),
+		"remembered ids":    s.endedCalls.Len(), "bytes": int(s.callBytes),
 		"dials": len(s.dials), "callers": len(s.callers)} {
 		if n != 0 {
 			t.Errorf("%d %s are left", n, what)
--- a/internal/session/offices.go
+++ b/internal/session/offices.go
@@ -156,7 +156,7 @@
 	s.Counters[state.AnswersOut]++
 	s.answerCounts[s.classIndex[call.SetUp.Class]].Completed++
 	s.trustCaller(call.From)
-	delete(s.endedCalls, call.ID)
+	s.endedCalls.Remove(call.ID)
 	st := s.callPool.NewEstablished()
 	*st = state.EstablishedCall{ID: call.ID, OfficeConn: officeConn, From: call.From, Since: s.now,
 		Class: s.classIndex[call.SetUp.Class]}
@@ -172,7 +172,7 @@
 	if established := s.established[call]; established != nil {
 		s.Counters[state.AnswersOut]--
 		officeConn := established.OfficeConn
-		s.endedCalls[call] = s.now
+		s.endedCalls.Add(call, established.From, s.now)
 		s.endEstablished(established)
 		s.releaseAtOffice(officeConn, call, wire.CauseNormal)
 	}
@@ -219,6 +219,7 @@
 		}
 		return
 	}
+	var from *state.Caller // nil: the call is not known, or not established
 	if established := s.established[message.Call]; established != nil {
 		if established.OfficeConn.To != office {
 			return // it was cancelled here and is established elsewhere; only its end there counts
@@ -229,10 +230,10 @@
 		if s.pooled.connSelector != nil {
 			s.observe(pooling.EndedByOffice, message.Call, cause, nil)
 		}
-		from := established.From
+		from = established.From
 		s.endEstablished(established)
 		s.releaseToCaller(releaseBy(officeConn, message), from)
-	} else if _, known := s.endedCalls[message.Call]; !known && s.calls[message.Call] == nil {
+	} else if !s.endedCalls.Has(message.Call) && s.calls[message.Call] == nil {
 		// bounds memory; no office has so many at once
 		if office.UnknownReleases++; office.UnknownReleases > maxPendingReleases {
 			s.Counters[state.InvalidIn]++
@@ -241,7 +242,7 @@
 		s.responsibility.EarlierCallSeen(s.now)
 		s.releaseToCaller(releaseBy(officeConn, message), nil) // a call of a previous process
 	}
-	s.endedCalls[message.Call] = s.now
+	s.endedCalls.Add(message.Call, from, s.now)
 }
 
 // releaseBy returns the release that an office has sent, for the call's client.
@@ -274,7 +275,7 @@
 // cutEstablished releases a call to its caller with cause cut.
 func (s *Session) cutEstablished(established *state.EstablishedCall) {
 	call, from := established.ID, established.From
-	s.endedCalls[call] = s.now
+	s.endedCalls.Add(call, from, s.now)
 	s.endEstablished(established)
 	s.releaseToCaller(delivery.Release{Call: call, Cause: wire.CauseCut}, from)
 }
--- a/internal/session/pooled_conns_sim_test.go
+++ b/internal/session/pooled_conns_sim_test.go
@@ -434,7 +434,7 @@
 	for _, caller := range sim.callers {
 		sim.disconnectCaller(caller)
 	}
-	sim.until(sim.now + 4*endedCallTTL)
+	sim.until(sim.now + 4*state.EndedCallTTL)
 	pooled := &sim.s.pooled
 	left := pooled.count + len(pooled.tracked) + len(pooled.sentReleases)
 	for _, office := range sim.s.offices.All() {
--- a/internal/session/responsibility_test.go
+++ b/internal/session/responsibility_test.go
@@ -280,3 +280,32 @@
 	}
 	return network
 }
+
+// Guards against a set-up that runs twice because its id, used by a client that has left, was forgotten under a flood of
+// new ids on another connection (review picture c).
+func TestFloodOfNewIDsForgetsNoOtherClientsIDs(t *testing.T) {
+	for name, flood := range map[string]func(id int) string{
+		"set-ups given up": func(id int) string { return setUpMessage(id, 0) + cancelMessage(id) },
+		"releases":         cancelMessage,
+	} {
+		p := newPlayer(t)
+		p.onWrite = func(*fakeConn, []byte) {}
+		p.step()
+		p.play("10 a open")
+		p.play("10 a > " + setUpMessage(0xa1, 0))
+		p.play("20 a close")
+		for n := range 100_000 {
+			if conn := p.conns["x"]; conn == nil || conn.closed {
+				p.play(fmt.Sprintf("%d x open", 100+n/50))
+			}
+			p.lines = nil
+			p.play(fmt.Sprintf("%d x > %s", 100+n/50, flood(1_000_000+n)))
+		}
+		p.lines, p.onWrite = nil, nil
+		p.play("3000 b open")
+		p.play("3000 b > " + setUpMessage(0xa1, 0))
+		if p.wroteMessage("o", 0x01, 0xa1) || !p.conns["b"].closed {
+			t.Errorf("%s: the id was run again", name)
+		}
+	}
+}
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -88,10 +88,9 @@
 	// With a longer list each is connected to at its first set-up, to avoid thousands of simultaneous connects
 	// of which most are never needed.
 	maxEagerOffices = 512
-	// endedCallTTL is how long ids of ended calls are kept, to tell a crossing release from that of a previous
-	// process's call.
-	endedCallTTL  = 20_000_000
-	sweepInterval = 1_000_000
+	// pendingReleaseTTL is how long a release that an office does not acknowledge is kept.
+	pendingReleaseTTL = 20_000_000
+	sweepInterval     = 1_000_000
 	// releaseRepeatDelay is how much later a release is repeated to an office if its connection ended with unsent
 	// data.
 	releaseRepeatDelay = 1_000_000
@@ -100,7 +99,6 @@
 	// SIGKILL comes no sooner after SIGTERM than the longest deadline, counted as at most maxCountedDeadline,
 	// plus killDelay. Every call gets its final answer killMargin before that.
 	maxCountedDeadline, killDelay, killMargin = 3_000_000, 700_000, 200_000
-	maxEndedCalls                             = 1 << 16
 	maxEventPasses                            = 32
 )
 
@@ -188,18 +186,18 @@
 	nextContact    int // index of the office that is looked at first in the next check
 	// callers' releases of a previous process's calls, for later offices
 	earlierReleases map[uint64]state.PendingRelease
-	endedCalls      map[uint64]int64 // ids of ended calls, and when they ended
+	endedCalls      state.EndedCalls
 	// Largest sizes of these maps at a sweep since they were last reallocated.
-	peakEndedCalls, peakCalls, peakEstablished int
-	offices                                    state.Offices
-	dials                                      map[uint64]*state.OfficeConn // nil: the journal
-	pendingRedials                             map[uint64]*state.Office     // by number of the timer
-	lastDialID                                 uint64
-	startedAt                                  int64
-	shutdownSince                              int64 // since when a shutdown lasts, which SIGTERM starts; 0: none
-	listenerClosed                             bool  // the callers' listener is closed
-	drainingSince                              int64 // since when a drain lasts; 0: none
-	pooled                                     pooledConns
+	peakCalls, peakEstablished int
+	offices                    state.Offices
+	dials                      map[uint64]*state.OfficeConn // nil: the journal
+	pendingRedials             map[uint64]*state.Office     // by number of the timer
+	lastDialID                 uint64
+	startedAt                  int64
+	shutdownSince              int64 // since when a shutdown lasts, which SIGTERM starts; 0: none
+	listenerClosed             bool  // the callers' listener is closed
+	drainingSince              int64 // since when a drain lasts; 0: none
+	pooled                     pooledConns
 }
 
 // New returns a session with the list in the source's configuration. The first Step starts it.
@@ -225,8 +223,8 @@
 		dialTimeout: cfg.Settings.DialLimit().Microseconds(),
 		connOwners:  map[state.Conn]any{}, calls: map[uint64]*state.Call{},
 		established:     map[uint64]*state.EstablishedCall{},
-		earlierReleases: map[uint64]state.PendingRelease{}, endedCalls: map[uint64]int64{},
-		dials: map[uint64]*state.OfficeConn{}, pendingRedials: map[uint64]*state.Office{}}
+		earlierReleases: map[uint64]state.PendingRelease{},
+		dials:           map[uint64]*state.OfficeConn{}, pendingRedials: map[uint64]*state.Office{}}
 	s.maxEagerOffices = min(maxEagerOffices, max(1, s.descriptorLimit-cfg.Sockets/callerReserveDivisor))
 	s.pooled.init(cfg)
 	if cfg.Memory > 0 {
--- a/internal/session/timers.go
+++ b/internal/session/timers.go
@@ -65,19 +65,14 @@
 // sweep removes expired entries.
 func (s *Session) sweep() {
 	s.callPool.Trim()
-	s.peakEndedCalls = max(s.peakEndedCalls, len(s.endedCalls))
 	s.peakCalls = max(s.peakCalls, len(s.calls))
 	s.peakEstablished = max(s.peakEstablished, len(s.established))
-	maps.DeleteFunc(s.endedCalls, func(_ uint64, at int64) bool { return s.now-at > endedCallTTL })
-	if len(s.endedCalls) > maxEndedCalls {
-		clear(s.endedCalls)
-	}
-	s.endedCalls = shrinkMap(s.endedCalls, &s.peakEndedCalls)
+	s.endedCalls.Expire(s.now)
 	s.calls = shrinkMap(s.calls, &s.peakCalls)
 	s.established = shrinkMap(s.established, &s.peakEstablished)
 	s.pooled.peakTracked = max(s.pooled.peakTracked, len(s.pooled.tracked))
 	s.pooled.tracked = shrinkMap(s.pooled.tracked, &s.pooled.peakTracked)
-	expired := func(_ uint64, ending state.PendingRelease) bool { return s.now-ending.At > endedCallTTL }
+	expired := func(_ uint64, ending state.PendingRelease) bool { return s.now-ending.At > pendingReleaseTTL }
 	maps.DeleteFunc(s.earlierReleases, expired)
 	s.expireReleases()
 	for _, office := range s.offices.All() {
--- /dev/null
+++ b/internal/state/ended_calls.go
@@ -0,0 +1,116 @@
+package state
+
+// EndedCalls remembers the ids of calls that have ended, so that a set-up with the id of one is not run again, and a
+// release that crosses the end of its call is not taken for that of a previous process's call.
+//
+// An id is remembered for EndedCallTTL at least, unless too many others have ended since. Connections that bring ids in
+// usual numbers share one set, and all others a second one, so that a flood of new ids forgets the flood's own. The zero
+// value is empty.
+type EndedCalls struct {
+	usual, excess endedGenerations
+}
+
+const (
+	// EndedCallTTL is for how many microseconds an id is remembered.
+	EndedCallTTL = 20_000_000
+	// maxEndedPerGeneration bounds the ids of each of the two generations of each set.
+	maxEndedPerGeneration = 1 << 15
+	// usualIDs and usualTrustedIDs are how many ids a connection may bring to the set of usual ones in EndedCallTTL. The
+	// second is for trusted connections, some 400 calls a second.
+	usualIDs, usualTrustedIDs = 16, 8192
+)
+
+// endedGenerations is a set of ids in two generations. The older one is dropped when the newer one is full or old.
+type endedGenerations struct {
+	current, previous map[uint64]struct{}
+	number            uint64 // of the current generation
+	since             int64  // when it began
+}
+
+// EndedShare counts the ids that a connection has brought to the set of usual ones. The zero value counts none.
+type EndedShare struct {
+	generation uint64
+	count      int
+}
+
+// Add remembers the id of a call that a caller's connection has asked for or released. A nil caller is an office that has
+// released a call which no caller of this process asked for.
+func (e *EndedCalls) Add(id uint64, by *Caller, now int64) {
+	e.Expire(now)
+	if _, known := e.usual.current[id]; known {
+		return
+	}
+	if by != nil && e.isUsual(by) {
+		by.Ended.count++
+		e.usual.add(id, now)
+		return
+	}
+	e.excess.add(id, now)
+}
+
+// isUsual reports whether a connection has brought no more ids than usual in the current generation.
+func (e *EndedCalls) isUsual(by *Caller) bool {
+	if by.Ended.generation != e.usual.number {
+		by.Ended = EndedShare{generation: e.usual.number}
+	}
+	if by.Trusted {
+		return by.Ended.count < usualTrustedIDs
+	}
+	return by.Ended.count < usualIDs
+}
+
+// Has reports whether an id is remembered.
+func (e *EndedCalls) Has(id uint64) bool { return e.usual.has(id) || e.excess.has(id) }
+
+// Remove forgets an id: its call is established after all.
+func (e *EndedCalls) Remove(id uint64) {
+	e.usual.remove(id)
+	e.excess.remove(id)
+}
+
+// Expire forgets ids that have been remembered for long enough.
+func (e *EndedCalls) Expire(now int64) {
+	e.usual.expire(now)
+	e.excess.expire(now)
+}
+
+// Len returns the number of remembered ids.
+func (e *EndedCalls) Len() int { return e.usual.len() + e.excess.len() }
+
+func (g *endedGenerations) add(id uint64, now int64) {
+	if len(g.current) >= maxEndedPerGeneration {
+		g.rotate(now)
+	}
+	if g.current == nil {
+		g.current = make(map[uint64]struct{}, len(g.previous))
+	}
+	g.current[id] = struct{}{}
+}
+
+func (g *endedGenerations) has(id uint64) bool {
+	if _, known := g.current[id]; known {
+		return true
+	}
+	_, known := g.previous[id]
+	return known
+}
+
+func (g *endedGenerations) remove(id uint64) {
+	delete(g.current, id)
+	delete(g.previous, id)
+}
+
+func (g *endedGenerations) len() int { return len(g.current) + len(g.previous) }
+
+func (g *endedGenerations) expire(now int64) {
+	if now-g.since >= EndedCallTTL {
+		g.rotate(now)
+	}
+}
+
+func (g *endedGenerations) rotate(now int64) {
+	g.previous = g.current
+	g.current = nil
+	g.number++
+	g.since = now
+}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -177,6 +177,7 @@
 	// Trusted: had an established call or acknowledged a release; abusive clients do neither
 	Trusted      bool
 	InvalidCount int                 // number of set-ups and releases that could not be interpreted
+	Ended        EndedShare          // ids of ended calls that it has brought
 	Delivery     delivery.Connection // releases sent on it, and still to be sent
 
 	Session uint64 // number of the connection, never reused; 0: calls are not assigned to pooled connections
