Take an office whose address another one has taken for gone

Cause: entries of the list were applied one by one, and nothing compared their addresses.

Equal or unknown starts change nothing.

Measured: TestOfficeWhoseAddressIsTakenGetsNothing failed before ("a set-up for the old office went to the new one") and passes.

--- a/internal/session/journal.go
+++ b/internal/session/journal.go
@@ -128,6 +128,7 @@
 
 // applyChange applies one journal event to the list, ends what it removes and reports it to the module.
 func (s *Session) applyChange(change wire.Change) {
+	change = s.offices.EndReplaced(change)
 	newOffices := slices.DeleteFunc(slices.Clone(change.Offices),
 		func(office wire.Office) bool { return s.offices.Get(office.ID) != nil })
 	gone := s.offices.Apply(change)
--- a/internal/session/responsibility_test.go
+++ b/internal/session/responsibility_test.go
@@ -11,6 +11,7 @@
 
 	"pewterwheel/internal/delivery"
 	"pewterwheel/internal/membership"
+	"pewterwheel/internal/state"
 	"pewterwheel/internal/wire"
 )
 
@@ -309,3 +310,38 @@
 		}
 	}
 }
+
+// Guards against set-ups for an office that has gone, which reached the office that has taken its address, while the list
+// told of the new one and not yet of that end (review picture d). The calls of the one that has gone are over.
+func TestOfficeWhoseAddressIsTakenGetsNothing(t *testing.T) {
+	p := newPlayer(t)
+	p.step()
+	p.establish(10, 0xa1)
+	p.play("500 o1 close")
+	// s-00000010 in the cell of the second office, at the address of the first one, started at 900 ms.
+	p.play("1000 j > {0000000000000002 02 00000010 7f000001 03e9 00 00 00 0001 000003e8 0000000000000384}")
+	if cause := p.toldAt("a", "a1"); cause < 0 || cause > 1_000 {
+		t.Errorf("the call's client was told at %d", cause)
+	}
+	old := p.s.offices.Get("s-00000001")
+	for n := range 20 {
+		p.play(fmt.Sprintf("%d a > %s", 1100+n, setUpMessage(0xb0+n, 0)))
+	}
+	if old != nil && (old.Conn != nil || old.DialID != 0 || len(old.Outstanding) > 0) {
+		t.Error("the old office is still connected to")
+	}
+	if p.s.Counters[state.AnswersOut] != 1 {
+		t.Errorf("%s", p.s.Counters.String())
+	}
+	for n := range 20 {
+		if p.wroteMessage("o1", 0x01, 0xb0+n) {
+			t.Errorf("a set-up for the old office went to the new one; played:\n%s", strings.Join(p.lines, "\n"))
+			break
+		}
+	}
+	// The end of the old one comes late and changes nothing; the new one serves its own cell.
+	p.play("6000 j > {0000000000000003 02 00000001 7f000001 03e9 02 00 00 0000 000003e8 0000000000000000}")
+	if office := p.s.offices.Get("s-00000010"); office == nil || office.Conn == nil {
+		t.Error("the new office is not connected to")
+	}
+}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"net/netip"
 	"slices"
 
 	"pewterwheel/decide"
@@ -291,6 +292,45 @@
 	Removed bool // also at its old address; false: it was restarted at the same one
 }
 
+// EndReplaced returns a change of the list in which offices whose address another office has taken are removed. A new
+// office may have the address of one that has gone, and the list may tell of it before it tells of that end. Whatever is
+// sent to the address from then on goes to the new office.
+func (l *Offices) EndReplaced(c wire.Change) wire.Change {
+	latest := map[netip.AddrPort]wire.Office{}
+	changed := map[decide.ServerID]bool{}
+	for _, o := range c.Offices {
+		changed[o.ID] = true
+		noteAddress(latest, o)
+	}
+	stays := func(known *Office) bool { return !changed[known.ID] && !c.Whole }
+	for _, known := range l.inOrder {
+		if _, named := latest[known.Address]; named && stays(known) {
+			noteAddress(latest, known.Office)
+		}
+	}
+	c.Offices = slices.Clone(c.Offices)
+	for i, o := range c.Offices {
+		if o.Started < latest[o.Address].Started {
+			c.Offices[i].State = decide.Removed
+		}
+	}
+	for _, known := range l.inOrder {
+		if stays(known) && known.State != decide.Removed && known.Started < latest[known.Address].Started {
+			gone := known.Office
+			gone.State = decide.Removed
+			c.Offices = append(c.Offices, gone)
+		}
+	}
+	return c
+}
+
+// noteAddress notes an office as the latest to start at its address, if it is.
+func noteAddress(latest map[netip.AddrPort]wire.Office, o wire.Office) {
+	if o.State != decide.Removed && o.Started >= latest[o.Address].Started {
+		latest[o.Address] = o
+	}
+}
+
 // Apply applies a change of the list and returns the offices that have ended by it, or have a new start or address.
 func (l *Offices) Apply(c wire.Change) []EndedOffice {
 	var ended []EndedOffice
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -42,3 +42,42 @@
 		}
 	}
 }
+
+// Guards against an office that is taken for alive because another one listens at its address: whichever the list names
+// first, the one that started later holds the address, and one that names no start changes nothing.
+func TestOfficesWhoseAddressIsTakenAreRemoved(t *testing.T) {
+	const old, successor = decide.ServerID("s-1"), decide.ServerID("s-2")
+	office := func(id decide.ServerID, started int64, state decide.State) wire.Office {
+		return office(string(id), state, 1001, started)
+	}
+	for _, c := range []struct {
+		name    string
+		changes []wire.Change
+		gone    bool
+	}{
+		{"the new one is told of later", []wire.Change{{Offices: []wire.Office{office(old, 0, decide.Up)}},
+			{Offices: []wire.Office{office(successor, 5, decide.Up)}}}, true},
+		{"the old one is told of later", []wire.Change{{Offices: []wire.Office{office(successor, 5, decide.Up)}},
+			{Offices: []wire.Office{office(old, 0, decide.Up)}}}, true},
+		{"a whole list with both", []wire.Change{{Whole: true, Offices: []wire.Office{office(old, 0, decide.Up),
+			office(successor, 5, decide.Draining)}}}, true},
+		{"the old one changes afterwards", []wire.Change{{Offices: []wire.Office{office(old, 0, decide.Up)}},
+			{Offices: []wire.Office{office(successor, 5, decide.Up)}}, {Offices: []wire.Office{office(old, 0, decide.Draining)}}},
+			true},
+		{"starts unknown", []wire.Change{{Offices: []wire.Office{office(old, 0, decide.Up)}},
+			{Offices: []wire.Office{office(successor, 0, decide.Up)}}}, false},
+		{"the new one has gone", []wire.Change{{Offices: []wire.Office{office(successor, 5, decide.Removed)}},
+			{Offices: []wire.Office{office(old, 0, decide.Up)}}}, false},
+	} {
+		var list Offices
+		for _, change := range c.changes {
+			list.Apply(list.EndReplaced(change))
+		}
+		if gone := list.Get(old).State == decide.Removed; gone != c.gone {
+			t.Errorf("%s: gone %v", c.name, gone)
+		}
+		if c.gone && list.Get(successor).State == decide.Removed {
+			t.Errorf("%s: the new one is gone", c.name)
+		}
+	}
+}
