Collect what the previous process left once, and only where READY was asked

Need: a further connection to each office at 6 s and at 12 s after every start, also after a kill and in fleets, for a process that may have been replaced while it ran; two handshakes with each office, of which a start after a kill needs none.

So a process that said yes opens one further connection to each office 6 s after it, and one that nobody asks opens none.

--- a/internal/delivery/responsibility.go
+++ b/internal/delivery/responsibility.go
@@ -13,6 +13,7 @@
 type Responsibility struct {
 	started     int64
 	earlierSeen int64 // when the last sign of an earlier call was seen; initially the start
+	ready       int64 // when the process first reported that it is ready; 0: it has not been asked, or is not
 	shutdown    int64 // when the shutdown began; 0: the process is not shutting down
 }
 
@@ -29,15 +30,14 @@
 	// reconnectAfter is how long an office may be without a connection after eagerWindow. A release that could not be
 	// sent is due 8 s after the end of its call; the rest is for many offices at once, a slow connect, and the client.
 	reconnectAfter = 5_500_000
-	// overlap is how long after the start the previous process may still be running: 6 s until this one reports ready,
-	// at most 5 s and 0.7 s until the previous one is killed, and a margin.
-	overlap = 12_000_000
-	// collectInterval is the time between connections to an office during overlap. What the office sent to the
-	// previous process, and that one did not deliver, arrives on the next connection.
-	collectInterval = 6_000_000
-	// collectUntil is how long after the start offices that have sent nothing on such a connection are given further
-	// ones.
-	collectUntil = 30_000_000
+	// reportsReadyWithin is how long after its start a process that replaces a running one reports ready at the latest.
+	reportsReadyWithin = 6_000_000
+	// overlap is how long after that the previous process may still be running: at most 5.7 s until it is killed, and a
+	// margin. What an office sent to it, and it did not deliver, arrives on the next connection that is opened.
+	overlap = 6_000_000
+	// collectRetry is the time between connections to an office that has sent nothing on the last one, and collectFor
+	// for how long they are opened.
+	collectRetry, collectFor = 6_000_000, 20_000_000
 	// collectAtLeast and collectAtMost bound how long a connection that only collects releases stays open: the
 	// releases directly follow the office's greeting.
 	collectAtLeast = 300_000
@@ -45,7 +45,7 @@
 )
 
 // MaxCollecting bounds the connections that only collect releases, at all offices together. Each is open for a third of
-// a second, so that 510 offices have theirs within collectInterval.
+// a second, so that 510 offices have theirs within 6 s.
 const MaxCollecting = 32
 
 // NewResponsibility returns the responsibility of a process that starts now.
@@ -56,6 +56,13 @@
 // ShutDown notes that the process has been asked to shut down.
 func (r *Responsibility) ShutDown(now int64) { r.shutdown = now }
 
+// ReportedReady notes that the process has reported that it is ready, upon which a previous one is told to shut down.
+func (r *Responsibility) ReportedReady(now int64) {
+	if r.ready == 0 {
+		r.ready = now
+	}
+}
+
 // EarlierCallSeen notes a sign of a call of a previous process.
 func (r *Responsibility) EarlierCallSeen(now int64) { r.earlierSeen = now }
 
@@ -146,18 +153,32 @@
 		return NoContact
 	case !connected && (office.lost == 0 || now-office.lost >= reconnectAfter):
 		return Reconnect
-	case connected && office.opened < r.started+overlap && now < r.started+collectUntil &&
-		now-max(office.opened, office.tried) >= collectInterval:
+	case connected && r.collects(now) && office.opened < r.previousEnded() && now-office.tried >= collectRetry:
 		return Collect
 	}
 	return NoContact
 }
 
+// previousEnded returns the time by which the previous process must have ended.
+func (r *Responsibility) previousEnded() int64 {
+	if r.ready == 0 {
+		return r.started + reportsReadyWithin + overlap
+	}
+	return r.ready + overlap
+}
+
+// collects reports whether a previous process may have run beside this one and ended a short time ago. A process that
+// was never asked whether it is ready has replaced none that was running.
+func (r *Responsibility) collects(now int64) bool {
+	ended := r.previousEnded()
+	return r.ready != 0 && now >= ended && now < ended+collectFor
+}
+
 // LinesInUse notes that an office reports how many of its lines calls of all controllers use, on a connection opened at
 // the given time. Where none is in use, and the previous process had ended before that time, no earlier call is left: the
 // office's undelivered releases came with the connection.
 func (r *Responsibility) LinesInUse(office *Contact, lines int, connectionOpened int64) {
-	if lines == 0 && connectionOpened >= r.started+overlap {
+	if lines == 0 && connectionOpened >= r.previousEnded() {
 		office.noEarlierCalls = true
 	}
 }
--- a/internal/session/control.go
+++ b/internal/session/control.go
@@ -66,6 +66,7 @@
 	switch line {
 	case wire.AskReady:
 		if s.ready() {
+			s.responsibility.ReportedReady(s.now)
 			return wire.Told(b, true, "ready")
 		}
 		return wire.Told(b, false, "not ready")
--- a/internal/session/responsibility_test.go
+++ b/internal/session/responsibility_test.go
@@ -101,6 +101,9 @@
 	}
 	p.step()
 	p.play("100 a open")
+	p.play("100 j > {0000000000000001 00}")
+	p.play("100 q1 open")
+	p.play(`100 q1 > "READY" 0a`)
 	for ms := 200; ms < 20_000; ms += 400 {
 		p.play(fmt.Sprintf("%d a > %s", ms, setUpMessage(ms, 0)))
 		p.play(fmt.Sprintf("%d o1 > %s", ms+390, answerMessage(ms)))
