Pace releases of unknown calls, so that one client's flood spares the offices

Cause: each release of an unknown call goes to every office, 2.2 million in 8 s; connections to offices ended by "write overflow", and the set-ups on them with them. The 256 that end a connection don't bound a client that comes back.

Change: delivery.EarlierReleases passes on 1,000 a second to each office and 50,000 in all, as many at once after a quiet second; connections take turns, those ended for too many come last and are dropped first over 4,096 that wait.

TestFloodOfReleasesSparesTheOffices failed before.

--- a/internal/session/caller_releases.go
+++ b/internal/session/caller_releases.go
@@ -1,6 +1,7 @@
 package session
 
 import (
+	"pewterwheel/decide"
 	"pewterwheel/internal/delivery"
 	"pewterwheel/internal/state"
 	"pewterwheel/internal/wire"
@@ -101,3 +102,27 @@
 	}
 	return s.endedCalls.Has(call) && !s.releases.Retains(call)
 }
+
+// queueEarlierRelease queues a caller's release of a call of a previous process.
+func (s *Session) queueEarlierRelease(caller *state.Caller, release delivery.EarlierRelease) {
+	dropped, full := s.earlierWaiting.Add(&caller.Delivery, release)
+	if full {
+		s.Counters[state.InvalidIn]++
+		s.endedCalls.Remove(dropped.Call) // its caller may release it again
+	}
+}
+
+// passOnEarlierReleases sends the offices the callers' releases of a previous process's calls that are due: any office
+// may hold such a call, and the others ignore its release.
+func (s *Session) passOnEarlierReleases() {
+	for _, release := range s.earlierWaiting.Take(len(s.offices.All()), s.now) {
+		if len(s.earlierReleases) < maxEarlierReleases {
+			s.earlierReleases[release.Call] = state.PendingRelease{Cause: release.Cause, At: s.now}
+		}
+		for _, office := range s.offices.All() {
+			if office.State != decide.Removed {
+				s.releaseAtOffice(&office.OfficeConn, release.Call, release.Cause)
+			}
+		}
+	}
+}
--- a/internal/session/callers.go
+++ b/internal/session/callers.go
@@ -10,6 +10,7 @@
 
 	"pewterwheel/decide"
 	"pewterwheel/internal/admit"
+	"pewterwheel/internal/delivery"
 	"pewterwheel/internal/pooling"
 	"pewterwheel/internal/state"
 	"pewterwheel/internal/wire"
@@ -198,6 +199,7 @@
 // speed, since each answer costs more than the request.
 func (s *Session) countInvalid(caller *state.Caller, weight int) {
 	if caller.InvalidCount += weight; caller.InvalidCount >= maxInvalidPerCaller {
+		s.earlierWaiting.Distrust(&caller.Delivery)
 		s.disconnectCaller(caller, errTooManyInvalid)
 	}
 }
@@ -307,16 +309,9 @@
 		s.endEstablished(established)
 		s.releaseAtOffice(established.OfficeConn, message.Call, cause)
 	} else if !s.endedCalls.Has(message.Call) {
-		// A call of a previous process: any office may hold it, and the others ignore the release.
 		s.endedCalls.Add(message.Call, caller, s.now)
-		if len(s.earlierReleases) < maxEarlierReleases {
-			s.earlierReleases[message.Call] = state.PendingRelease{Cause: cause, At: s.now}
-		}
-		for _, office := range s.offices.All() {
-			if office.State != decide.Removed {
-				s.releaseAtOffice(&office.OfficeConn, message.Call, cause)
-			}
-		}
+		s.queueEarlierRelease(caller, delivery.EarlierRelease{Call: message.Call, Cause: cause})
+		s.passOnEarlierReleases()
 		s.countInvalid(caller, 1)
 	}
 	if box := s.callerOutbox(caller); box != nil {
--- a/internal/session/responsibility_test.go
+++ b/internal/session/responsibility_test.go
@@ -348,3 +348,32 @@
 		t.Error("the new office is not connected to")
 	}
 }
+
+// Guards against a client that releases ever new ids at full speed, and comes back each time it is disconnected: each
+// release goes to every office, and so many ended the connections on which other clients' set-ups were open (picture b).
+func TestFloodOfReleasesSparesTheOffices(t *testing.T) {
+	p := newPlayer(t)
+	sent := 0
+	p.onWrite = func(conn *fakeConn, b []byte) {
+		if strings.HasPrefix(conn.name, "o") {
+			sent += len(b)
+		}
+	}
+	p.step()
+	const length, connections, size = 3, 400, 15
+	for n := range length * connections {
+		at := int64(n) * second / connections
+		p.until(at)
+		p.play(fmt.Sprintf("%d x open", at/1000))
+		var releases strings.Builder
+		for i := range 300 {
+			releases.WriteString(cancelMessage(1<<32 + n*1000 + i))
+		}
+		p.lines = nil
+		p.play(fmt.Sprintf("%d x > %s", at/1000, releases.String()))
+	}
+	// A thousand a second to each of two offices, as many at once, and what is repeated on a connection that ended.
+	if most := 2 * (length + 1) * 1000 * size; sent > most {
+		t.Errorf("%d bytes went to the offices in %d s, over %d", sent, length, most)
+	}
+}
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -184,7 +184,9 @@
 	maxCollectors  int // at present
 	contacts       int // connections opened in this check for the calls of a previous process
 	nextContact    int // index of the office that is looked at first in the next check
-	// callers' releases of a previous process's calls, for later offices
+	// callers' releases of a previous process's calls, for the offices
+	earlierWaiting delivery.EarlierReleases
+	// the same for later offices
 	earlierReleases map[uint64]state.PendingRelease
 	endedCalls      state.EndedCalls
 	// Largest sizes of these maps at a sweep since they were last reallocated.
@@ -305,6 +307,7 @@
 	if s.pooled.connSelector != nil {
 		s.finishConnRound()
 	}
+	s.passOnEarlierReleases()
 	s.sendRetainedToAll()
 	s.flush()
 	s.callPool.Recycle()
@@ -322,7 +325,8 @@
 // their connections and lose the set-ups that they have sent.
 func (s *Session) Done() bool {
 	return s.shutdownSince != 0 && s.responsibility.DisconnectingFor(s.now) >= 0 && s.countOpen() == 0 &&
-		!s.releasesPending() && (s.listenerClosed && len(s.callers) == 0 || s.now >= s.lastAnswerTime())
+		!s.releasesPending() && (s.listenerClosed && len(s.callers) == 0 && s.earlierWaiting.Waiting() == 0 ||
+		s.now >= s.lastAnswerTime())
 }
 
 // lastAnswerTime is when the last call must have its answer at shutdown.
