Bound the numbers kept for redials, which a flood of given-up set-ups grew

Cause, by a heap profile: decide keeps for each number whose caller got no set-up when it first tried, until the class's deadline, 52,000 a second without bound (48 MB); event buffers kept the size of the largest round (30 MB); the collector ran without pause.

Change: decide keeps 16,384 numbers at most, and a call of one more counts as new; event buffers over 4,096 are let go.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -77,6 +77,9 @@
 	// longOpenList is the length above which a list of open set-ups drops its first entry without moving the
 	// others.
 	longOpenList = 64
+	// maxRedials bounds the callers that may redial, of which it is known when they first tried. A call of one more
+	// counts as a new one.
+	maxRedials = 16_384
 )
 
 // tickToken is the token of the recurring timer; calls use tokens above it.
@@ -519,7 +522,9 @@
 }
 
 func (n *Node) forget(c *call) {
-	n.redials[c.redial] = c.firstTried
+	if _, known := n.redials[c.redial]; known || len(n.redials) < maxRedials {
+		n.redials[c.redial] = c.firstTried
+	}
 	c.finished = true
 	delete(n.calls, c.id)
 	delete(n.callByToken, c.token)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -333,6 +333,24 @@
 	}
 }
 
+// Guards against memory that grows with the numbers that a client calls and gives up at full speed: each was kept until the
+// deadline of its class.
+func TestNumbersOfCallersThatLeftAreBounded(t *testing.T) {
+	r := newRunner(t, testSettings(), upServer("a", 0))
+	for call := range CallID(3 * maxRedials) {
+		r.node.Step(r.now, Event{Kind: CallArrived, Call: 1000 + call, Destination: 0, Key: fmt.Sprint("n", call),
+			Deadline: r.now + 4*sec}, nil)
+		r.node.Step(r.now, Event{Kind: CallerLeft, Call: 1000 + call}, nil)
+	}
+	if n := len(r.node.redials); n > maxRedials {
+		t.Errorf("%d numbers are kept", n)
+	}
+	r.advance(r.node.settings.Classes[0].Deadline + sec)
+	if n := len(r.node.redials); n != 0 {
+		t.Errorf("%d numbers are kept after the deadline", n)
+	}
+}
+
 // A redial has little worth left and must not take the slot of a new call.
 func TestRedialWaitsBehindFreshCalls(t *testing.T) {
 	r := newRunner(t, testSettings(), upServer("a", 0))
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -299,7 +299,7 @@
 		for _, event := range events {
 			s.actions = s.decider.Step(s.now, event, s.actions)
 		}
-		s.spareEvents = events[:0]
+		s.spareEvents = spareBuffer(events)
 		for _, action := range s.actions {
 			s.execute(action)
 		}
@@ -313,6 +313,15 @@
 	s.callPool.Recycle()
 }
 
+// spareBuffer returns a buffer of events for reuse, unless it has grown for a flood.
+func spareBuffer(events []decide.Event) []decide.Event {
+	const maxSpare = 4096
+	if cap(events) > maxSpare {
+		return nil
+	}
+	return events[:0]
+}
+
 // wasPaused reports whether this round comes long after the last one, or delivers input that arrived long ago.
 // In this case the end of a caller may be unread, and no attempt should begin for it.
 func (s *Session) wasPaused(arrivals []Arrival) bool {
