Evaluate at most 64 reports of an office's lines in a round

Cause: each report became an event for the decider, 240,000 in a round of the loop.

Change: 64 reports of an office are evaluated in a round, the others are passed over; offices report some times a second.

TestFloodOfReportsIsBounded failed before (100,000 evaluated).

--- a/internal/session/offices.go
+++ b/internal/session/offices.go
@@ -97,6 +97,9 @@
 		}
 	case wire.TypeGroup:
 		// Arrives unrequested at regular intervals; the module weights its choice by the free lines.
+		if s.reportsExceeded(officeConn.To) {
+			break
+		}
 		officeConn.Received.Report(at, &s.reportRhythm)
 		if officeConn.Number != 0 && officeConn.To.Conn != nil {
 			break // the report also arrives on the main connection
@@ -113,6 +116,17 @@
 	}
 }
 
+// reportsExceeded counts a report of an office, and reports whether it has sent more in this round than are of use. An office
+// that reports at full speed would otherwise take all time and memory for them.
+func (s *Session) reportsExceeded(office *state.Office) bool {
+	if round := s.Counters[state.Rounds]; office.ReportRound != round {
+		office.ReportRound = round
+		office.ReportsInRound = 0
+	}
+	office.ReportsInRound++
+	return office.ReportsInRound > maxReportsPerRound
+}
+
 func (s *Session) handleOfficeAnswer(officeConn *state.OfficeConn, message wire.Message, arrivedAt int64) {
 	office, attempt := officeConn.To, s.outstandingAttempt(officeConn, message.Call)
 	if attempt == nil {
--- a/internal/session/responsibility_test.go
+++ b/internal/session/responsibility_test.go
@@ -1,6 +1,7 @@
 package session
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -9,6 +10,7 @@
 	"strings"
 	"testing"
 
+	"pewterwheel/decide"
 	"pewterwheel/internal/delivery"
 	"pewterwheel/internal/membership"
 	"pewterwheel/internal/state"
@@ -377,3 +379,41 @@
 		t.Errorf("%d bytes went to the offices in %d s, over %d", sent, length, most)
 	}
 }
+
+// reportCounter is a decider that counts the reports of offices that reach it.
+type reportCounter struct {
+	Decider
+	reports int
+}
+
+func (c *reportCounter) Step(now int64, event decide.Event, actions []decide.Action) []decide.Action {
+	if event.Kind == decide.ServerReport {
+		c.reports++
+	}
+	return c.Decider.Step(now, event, actions)
+}
+
+// Guards against an office that reports its lines at full speed: each report was an event, and together they took all
+// time and memory.
+func TestFloodOfReportsIsBounded(t *testing.T) {
+	counter := &reportCounter{}
+	p := newPlayerOf(t, Config{Sockets: 1024, Seed: 7,
+		NewDecider: func(set decide.Settings, seed uint64) (Decider, error) {
+			node, err := decide.New(set, seed)
+			counter.Decider = node
+			return counter, err
+		}})
+	p.step()
+	report := parse(t, `[2b 0000000000000000 2b["free:7;size:9"]]`)
+	p.now = second
+	p.step(Arrival{Kind: Data, At: p.now, Conn: p.conns["o1"], Data: bytes.Repeat(report, 100_000)})
+	if counter.reports == 0 || counter.reports > maxReportsPerRound {
+		t.Errorf("%d reports of a round were evaluated", counter.reports)
+	}
+	p.play("1100 a open")
+	p.play("1100 a > " + setUpMessage(0xa1, 0))
+	p.play("1110 o1 > " + answerMessage(0xa1))
+	if !p.wroteMessage("a", 0x09, 0xa1) {
+		t.Error("a call at the office is not served")
+	}
+}
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -78,6 +78,9 @@
 	// maxEarlierReleases bounds the releases of a previous process's calls that are kept for offices listed
 	// later.
 	maxEarlierReleases = 1024
+	// maxReportsPerRound bounds the reports of one office that are evaluated in a round. Offices report some times a
+	// second, on up to four connections.
+	maxReportsPerRound = 64
 	// minRedialDelay and maxRedialDelay bound the delay between connects to an office with established calls.
 	minRedialDelay, maxRedialDelay = 100_000, 800_000
 	// maxReopenDelay bounds the delay after a connection that was opened and soon lost. The office is
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -251,6 +251,8 @@
 	Contact         delivery.Contact            // when it could send the releases of a previous process's calls
 	Collector       *OfficeConn                 // connection that only collects such releases; nil: none
 	UnknownReleases int                         // number of releases of unknown calls it has sent since the last sweep
+	ReportRound     uint64                      // number of the round in which it last reported
+	ReportsInRound  int                         // number of reports in that round
 
 	// The following fields are used only where calls are assigned to pooled connections.
 	Serial      uint64                 // number by which pooling refers to the office
