Count the connections for earlier calls as descriptors, and group their state

Need: collectors were not counted where callers' places are, and their counters stood apart in the session.

Change: callers' places leave room for collectors, and collectors leave room for the callers that are there; officeContacts holds the four counters.

--- a/internal/session/collect_releases.go
+++ b/internal/session/collect_releases.go
@@ -16,24 +16,32 @@
 	maxContactsPerCheck = 8
 )
 
+// officeContacts counts the connections that are opened for the calls of a previous process.
+type officeContacts struct {
+	collectors    int // that are open or being opened
+	maxCollectors int // at present
+	opened        int // connections opened in this check
+	next          int // index of the office that is looked at first in the next check
+}
+
 var errCollected = errors.New("connection has brought what the office could not deliver")
 
 // contactOffices opens the connections on which offices can send the releases of a previous process's calls, as
 // s.responsibility decides, and closes those that have served for that.
 func (s *Session) contactOffices() {
-	s.maxCollectors, s.contacts = s.collectorLimit(), 0
-	offices, first := s.offices.All(), s.nextContact
+	s.contacts.maxCollectors, s.contacts.opened = s.collectorLimit(), 0
+	offices, first := s.offices.All(), s.contacts.next
 	for i := range offices {
 		index := (first + i) % len(offices)
-		office, before := offices[index], s.contacts
+		office, before := offices[index], s.contacts.opened
 		if office.Collector != nil {
 			s.closeCollected(office.Collector)
 		}
-		if s.contacts < maxContactsPerCheck {
+		if s.contacts.opened < maxContactsPerCheck {
 			s.contactOffice(office)
 		}
-		if s.contacts > before { // the others come first in the next check
-			s.nextContact = index + 1
+		if s.contacts.opened > before { // the others come first in the next check
+			s.contacts.next = index + 1
 		}
 	}
 }
@@ -48,10 +56,10 @@
 	due := s.responsibility.ContactDue(office.Contact, office.Conn != nil, s.now)
 	switch {
 	case due == delivery.Reconnect && len(s.offices.All()) <= s.maxEagerOffices:
-		s.contacts++
+		s.contacts.opened++
 		s.connect(&office.OfficeConn)
-	case due != delivery.NoContact && s.collectors < s.maxCollectors:
-		s.contacts++
+	case due != delivery.NoContact && s.contacts.collectors < s.contacts.maxCollectors:
+		s.contacts.opened++
 		s.openCollector(office)
 	}
 }
@@ -59,7 +67,7 @@
 // openCollector opens a connection to an office that only collects releases.
 func (s *Session) openCollector(office *state.Office) {
 	office.Collector = &state.OfficeConn{To: office, Number: collectorNumber, Outstanding: map[uint64]*state.Attempt{}}
-	s.collectors++
+	s.contacts.collectors++
 	office.Contact.Tried(s.now)
 	s.connect(office.Collector)
 }
@@ -67,7 +75,7 @@
 // collectorLimit returns how many collectors may be open at present. The descriptors that callers may hold by the
 // protocol are left to them.
 func (s *Session) collectorLimit() int {
-	spare := s.descriptorLimit - s.sockets/callerReserveDivisor - s.pooled.count
+	spare := s.descriptorLimit - max(len(s.callers), s.sockets/callerReserveDivisor) - s.pooled.count
 	for _, office := range s.offices.All() {
 		if office.Conn != nil || office.DialID != 0 {
 			spare--
@@ -97,7 +105,7 @@
 		return
 	}
 	office.Collector = nil
-	s.collectors--
+	s.contacts.collectors--
 	if office.Conn == nil {
 		office.Contact.Lost(s.now)
 	}
--- a/internal/session/conn_releases.go
+++ b/internal/session/conn_releases.go
@@ -98,7 +98,8 @@
 // outstandingAttempt returns the attempt that a message of an office refers to. In most cases it is on the
 // connection on which the message arrived.
 func (s *Session) outstandingAttempt(officeConn *state.OfficeConn, call uint64) *state.Attempt {
-	if attempt := officeConn.Outstanding[call]; attempt != nil || len(officeConn.To.Pooled) == 0 && officeConn.To.Collector == nil {
+	hasOthers := len(officeConn.To.Pooled) > 0 || officeConn.To.Collector != nil
+	if attempt := officeConn.Outstanding[call]; attempt != nil || !hasOthers {
 		return attempt
 	}
 	if c := s.calls[call]; c != nil && c.Attempt != nil && c.Attempt.OfficeConn.To == officeConn.To && !c.Attempt.Queued {
--- a/internal/session/descriptors.go
+++ b/internal/session/descriptors.go
@@ -34,7 +34,7 @@
 
 // callerLimit is the maximum number of callers' connections at present.
 func (s *Session) callerLimit() int {
-	return min(s.maxCallers, max(minCallers, s.descriptorLimit-len(s.offices.All())-s.pooled.count))
+	return min(s.maxCallers, max(minCallers, s.descriptorLimit-len(s.offices.All())-s.pooled.count-s.contacts.collectors))
 }
 
 // newCallerGrace is how long the first message of a new caller may take to arrive. Closing earlier would lose
--- a/internal/session/responsibility_test.go
+++ b/internal/session/responsibility_test.go
@@ -28,6 +28,21 @@
 	}
 }
 
+// repeatUndelivered lets offices greet with a report of their lines, and the first office also with the release of a call
+// that it could not deliver before, once the result is set to true.
+func (p *player) repeatUndelivered(call int) *bool {
+	undelivered := false
+	p.greeting = func(conn *fakeConn) []byte {
+		data := parse(p.t, `[2b 0000000000000000 2b["free:7;size:9"]]`)
+		if undelivered && strings.HasPrefix(conn.name, "o1") {
+			undelivered = false
+			data = append(data, parse(p.t, cancelMessage(call))...)
+		}
+		return data
+	}
+	return &undelivered
+}
+
 // Guards against calls that are cut at an office that is well, after a planned restart has disconnected their client: one
 // set-up of another client that waits there for 3 s was evidence enough, and nobody told the client (review/6).
 func TestShutdownLeavesCallsOfDisconnectedClientsAtTheirOffice(t *testing.T) {
@@ -92,15 +107,7 @@
 // on the next connection, and this process had opened its own before (review/9). The office is never without a set-up.
 func TestStartedProcessCollectsWhatThePreviousOneLeft(t *testing.T) {
 	p := newPlayer(t)
-	undelivered := false
-	p.greeting = func(conn *fakeConn) []byte {
-		data := parse(t, `[2b 0000000000000000 2b["free:7;size:9"]]`)
-		if undelivered && strings.HasPrefix(conn.name, "o1") {
-			undelivered = false
-			data = append(data, parse(t, cancelMessage(0xe1))...)
-		}
-		return data
-	}
+	undelivered := p.repeatUndelivered(0xe1)
 	p.step()
 	p.play("100 a open")
 	p.play("100 j > {0000000000000001 00}")
@@ -110,13 +117,13 @@
 		p.play(fmt.Sprintf("%d a > %s", ms, setUpMessage(ms, 0)))
 		p.play(fmt.Sprintf("%d o1 > %s", ms+390, answerMessage(ms)))
 		p.play(fmt.Sprintf("%d a > %s", ms+390, cancelMessage(ms)))
-		undelivered = undelivered || ms == 5000 // the previous process has ended
+		*undelivered = *undelivered || ms == 5000 // the previous process has ended
 	}
 	const excused, rule = 5_000, 8_050
 	if told := p.toldAt("a", "e1"); told < 0 || told > 5_000+excused+rule {
 		t.Errorf("the client was told at %d", told)
 	}
-	if p.s.collectors != 0 || p.s.offices.All()[0].Collector != nil {
+	if p.s.contacts.collectors != 0 || p.s.offices.All()[0].Collector != nil {
 		t.Error("a connection that only collects releases is left open")
 	}
 }
@@ -126,15 +133,7 @@
 func TestQuietOfficeTellsOfEarlierCallsHoweverLongTheyLast(t *testing.T) {
 	for _, end := range []int{14_000, 75_000, 3_600_000} {
 		p := newPlayer(t)
-		undelivered := false
-		p.greeting = func(conn *fakeConn) []byte {
-			data := parse(t, `[2b 0000000000000000 2b["free:7;size:9"]]`)
-			if undelivered && strings.HasPrefix(conn.name, "o1") {
-				undelivered = false
-				data = append(data, parse(t, cancelMessage(0xe1))...)
-			}
-			return data
-		}
+		undelivered := p.repeatUndelivered(0xe1)
 		p.step()
 		p.establish(100, 0xa1)
 		p.play("120 a > " + cancelMessage(0xa1))
@@ -142,8 +141,8 @@
 			closeIdle(p, ms, 5*second)
 		}
 		p.until(int64(end) * 1000)
-		undelivered = p.conns["o1"].closed
-		if !undelivered {
+		*undelivered = p.conns["o1"].closed
+		if !*undelivered {
 			p.play(fmt.Sprintf("%d o1 > %s", end, cancelMessage(0xe1)))
 		}
 		p.until(int64(end+9_000) * 1000)
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -183,10 +183,7 @@
 	releases      delivery.Log // releases towards callers
 	// until when this process tells callers of the ends of calls
 	responsibility delivery.Responsibility
-	collectors     int // offices' connections that only collect releases
-	maxCollectors  int // at present
-	contacts       int // connections opened in this check for the calls of a previous process
-	nextContact    int // index of the office that is looked at first in the next check
+	contacts       officeContacts
 	// callers' releases of a previous process's calls, for the offices
 	earlierWaiting delivery.EarlierReleases
 	// the same for later offices
