--- a/internal/state/ended_calls.go
+++ b/internal/state/ended_calls.go
@@ -16,7 +16,7 @@
 	// maxEndedPerGeneration bounds the ids of each of the two generations of each set.
 	maxEndedPerGeneration = 1 << 15
 	// usualIDs and usualTrustedIDs are how many ids a connection may bring to the set of usual ones in EndedCallTTL. The
-	// second is for trusted connections, some 400 calls a second.
+	// second is for trusted connections: some 200 calls a second, as a call that stands counts at its answer and its end.
 	usualIDs, usualTrustedIDs = 16, 8192
 )
 
