--- a/decide/decide.go
+++ b/decide/decide.go
@@ -77,8 +77,8 @@
 	// longOpenList is the length above which a list of open set-ups drops its first entry without moving the
 	// others.
 	longOpenList = 64
-	// maxRedials bounds the callers that may redial, of which it is known when they first tried. A call of one
-	// more counts as a new one.
+	// maxRedials bounds the callers that may redial, of which it is known when they first tried. A call of
+	// one more counts as a new one.
 	maxRedials = 16_384
 )
 
