--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -143,6 +143,7 @@
 	events            []decide.Event
 	spareEvents       []decide.Event
 	actions           []decide.Action
+	peakEvents        int // most events of a pass since the last sweep
 	controlReply      []byte
 	params            []wire.Param // of the message being read
 	pendingWrites     []any        // *state.Caller and *state.OfficeConn with messages to write
@@ -294,6 +295,7 @@
 			break
 		}
 		events := s.events
+		s.peakEvents = max(s.peakEvents, len(events))
 		s.events, s.spareEvents = s.spareEvents[:0], nil
 		s.actions = s.actions[:0]
 		for _, event := range events {
@@ -322,6 +324,16 @@
 	return events[:0]
 }
 
+// trimEventBuffers lets the buffers of events and actions go that are far larger than any pass needed since the last sweep.
+func (s *Session) trimEventBuffers() {
+	const least, much = 64, 4
+	if most := max(cap(s.events), cap(s.spareEvents), cap(s.actions)); most > max(least, much*s.peakEvents) {
+		s.spareEvents, s.actions = nil, nil
+		s.events = append([]decide.Event(nil), s.events...)
+	}
+	s.peakEvents = 0
+}
+
 // wasPaused reports whether this round comes long after the last one, or delivers input that arrived long ago.
 // In this case the end of a caller may be unread, and no attempt should begin for it.
 func (s *Session) wasPaused(arrivals []Arrival) bool {
--- a/internal/session/timers.go
+++ b/internal/session/timers.go
@@ -65,6 +65,7 @@
 // sweep removes expired entries.
 func (s *Session) sweep() {
 	s.callPool.Trim()
+	s.trimEventBuffers()
 	s.peakCalls = max(s.peakCalls, len(s.calls))
 	s.peakEstablished = max(s.peakEstablished, len(s.established))
 	s.endedCalls.Expire(s.now)
--- a/internal/state/ended_calls.go
+++ b/internal/state/ended_calls.go
@@ -13,18 +13,23 @@
 const (
 	// EndedCallTTL is for how many microseconds an id is remembered.
 	EndedCallTTL = 20_000_000
-	// maxEndedPerGeneration bounds the ids of each of the two generations of each set.
-	maxEndedPerGeneration = 1 << 15
-	// usualIDs and usualTrustedIDs are how many ids a connection may bring to the set of usual ones in EndedCallTTL. The
-	// second is for trusted connections: some 200 calls a second, as a call that stands counts at its answer and its end.
-	usualIDs, usualTrustedIDs = 16, 8192
+	// generationLength is how long ids are added to a generation, in microseconds. generations of them, one of which is
+	// being filled, hold the ids of EndedCallTTL at least.
+	generationLength = EndedCallTTL / 2
+	generations      = 3
+	// maxEndedPerGeneration bounds the ids of each generation of each set.
+	maxEndedPerGeneration = 20_000
+	// usualIDs and usualTrustedIDs are how many ids a connection may bring to a generation of usual ones. The second is
+	// for trusted connections: some 200 calls a second, as a call that stands counts at its answer and its end.
+	usualIDs, usualTrustedIDs = 8, 4096
 )
 
-// endedGenerations is a set of ids in two generations. The older one is dropped when the newer one is full or old.
+// endedGenerations is a set of ids in generations, the latest first. The oldest one is dropped when the latest is full or
+// old.
 type endedGenerations struct {
-	current, previous map[uint64]struct{}
-	number            uint64 // of the current generation
-	since             int64  // when it began
+	ids    [generations]map[uint64]struct{}
+	number uint64 // of the latest generation
+	since  int64  // when it began
 }
 
 // EndedShare counts the ids that a connection has brought to the set of usual ones. The zero value counts none.
@@ -37,7 +42,7 @@
 // released a call which no caller of this process asked for.
 func (e *EndedCalls) Add(id uint64, by *Caller, now int64) {
 	e.Expire(now)
-	if _, known := e.usual.current[id]; known {
+	if _, known := e.usual.ids[0][id]; known {
 		return
 	}
 	if by != nil && e.isUsual(by) {
@@ -78,39 +83,46 @@
 func (e *EndedCalls) Len() int { return e.usual.len() + e.excess.len() }
 
 func (g *endedGenerations) add(id uint64, now int64) {
-	if len(g.current) >= maxEndedPerGeneration {
+	if len(g.ids[0]) >= maxEndedPerGeneration {
 		g.rotate(now)
 	}
-	if g.current == nil {
-		g.current = make(map[uint64]struct{}, len(g.previous))
+	if g.ids[0] == nil {
+		g.ids[0] = make(map[uint64]struct{}, len(g.ids[1]))
 	}
-	g.current[id] = struct{}{}
+	g.ids[0][id] = struct{}{}
 }
 
 func (g *endedGenerations) has(id uint64) bool {
-	if _, known := g.current[id]; known {
-		return true
+	for _, generation := range g.ids {
+		if _, known := generation[id]; known {
+			return true
+		}
 	}
-	_, known := g.previous[id]
-	return known
+	return false
 }
 
 func (g *endedGenerations) remove(id uint64) {
-	delete(g.current, id)
-	delete(g.previous, id)
+	for _, generation := range g.ids {
+		delete(generation, id)
+	}
 }
 
-func (g *endedGenerations) len() int { return len(g.current) + len(g.previous) }
+func (g *endedGenerations) len() (n int) {
+	for _, generation := range g.ids {
+		n += len(generation)
+	}
+	return n
+}
 
 func (g *endedGenerations) expire(now int64) {
-	if now-g.since >= EndedCallTTL {
+	if now-g.since >= generationLength {
 		g.rotate(now)
 	}
 }
 
 func (g *endedGenerations) rotate(now int64) {
-	g.previous = g.current
-	g.current = nil
+	copy(g.ids[1:], g.ids[:generations-1])
+	g.ids[0] = nil
 	g.number++
 	g.since = now
 }
